--- /dev/null
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -0,0 +1,414 @@
+//! Workers' sessions: what reports prove, and which commands follow.
+
+use super::Core;
+use crate::jobs::{Exit, Job, Stop, TaskId};
+use crate::machines::Machine;
+use dapplecroft_wire::workers::{DirectOrders, ExitReason, Order, Orders, Report, TaskState};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Most commands in one message, far under the limit of a line.
+const MAX_ORDERS: usize = 200;
+
+/// What a worker's report is answered with.
+#[derive(Debug, Clone, PartialEq)]
+pub enum HelloAnswer {
+    /// Stay, and do this.
+    Orders(Orders),
+    /// Another node is the right one, if known.
+    Redirect(Option<String>),
+    /// This node can't tell now.
+    Unavailable,
+}
+
+impl Core {
+    /// Answers a report.
+    pub fn hello(&mut self, report: &Report, now: Instant) -> HelloAnswer {
+        let Some(holding) = self.holding(now) else {
+            // A holder that has lost the state service stops answering, so that
+            // its workers' leases end before a cancellation's limit.
+            return match self.holder_host() {
+                _ if self.is_holder() => HelloAnswer::Unavailable,
+                Some(host) => HelloAnswer::Redirect(Some(host.to_string())),
+                None => HelloAnswer::Unavailable,
+            };
+        };
+        if self.gone.contains(&report.machine) {
+            // Its release was answered, so this is a late copy of a message.
+            return HelloAnswer::Unavailable;
+        }
+        let token = self.machines.get(&report.machine).map_or(0, |m| m.token(holding.epoch));
+        if token > 0 && report.token > token || report.token >> 20 > holding.epoch {
+            // Someone with a newer lease commands this worker.
+            tracing::info!(machine = report.machine, "a worker knows a newer token than this holder's");
+            return HelloAnswer::Redirect(None);
+        }
+        self.take_report(report, now);
+        let Some(machine) = self.machines.get(&report.machine) else { return HelloAnswer::Unavailable };
+        let token = machine.token(holding.epoch);
+        let id = report.machine.clone();
+        // Only the worker's newest message is answered with commands.
+        let newest = (machine.session, machine.sequence) == (report.session, report.sequence);
+        let orders = if newest { self.orders(&id, true, now) } else { Vec::new() };
+        self.note_sent(&id, &orders, token);
+        HelloAnswer::Orders(Orders { token, orders })
+    }
+
+    /// Takes over a report, however it came. Late copies are ignored.
+    pub fn take_report(&mut self, report: &Report, now: Instant) {
+        let Some(holding) = self.role.holding else { return };
+        if self.gone.contains(&report.machine) {
+            return;
+        }
+        let known = self.machines.contains_key(&report.machine);
+        let machine = self.machines.entry(report.machine.clone()).or_insert_with(|| {
+            Machine::new(&report.machine, &report.machine_type, &report.zone, report.spot, now)
+        });
+        if !known {
+            tracing::info!(machine = report.machine, "a machine that nobody expected is taken in");
+        }
+        if (report.session, report.sequence) <= (machine.session, machine.sequence) {
+            return;
+        }
+        let first = machine.heard.is_none();
+        if report.session > machine.session {
+            machine.commanding = false;
+        }
+        machine.session = report.session;
+        machine.sequence = report.sequence;
+        machine.seen_token = report.token;
+        machine.heard = Some(now);
+        machine.missed_probes = 0;
+        machine.machine_type.clone_from(&report.machine_type);
+        machine.zone.clone_from(&report.zone);
+        machine.spot = report.spot;
+        if machine.address.as_deref() != Some(report.address.as_str()) {
+            machine.address = Some(report.address.clone());
+            machine.recorded = machine.recorded.map(|(version, _)| (version, false));
+        }
+        let taken_at = report
+            .notice_s
+            .and_then(|s| Duration::try_from_secs_f64(s.clamp(0.0, 1e6)).ok())
+            .map(|d| now + d);
+        let noticed = taken_at.is_some() && machine.taken_at.is_none();
+        machine.taken_at = taken_at;
+        let mut tasks = BTreeMap::new();
+        for task in &report.tasks {
+            match TaskId::parse(&task.task) {
+                Some(id) => {
+                    tasks.insert(id, task.clone());
+                }
+                None => tracing::warn!(machine = report.machine, task = task.task, "an unreadable task"),
+            }
+        }
+        machine.reported = tasks;
+        let was_synced_before = !first;
+        let synced = machine.synced(holding.epoch);
+        if first || synced {
+            self.wakes.place = true;
+        }
+        if first && !was_synced_before {
+            self.wakes.fleet = true;
+        }
+        self.take_proof(&report.machine, synced, now);
+        if noticed {
+            self.notice(&report.machine, now);
+        }
+        self.wakes.command.insert(report.machine.clone());
+    }
+
+    /// Works out what a machine's newest message proves.
+    fn take_proof(&mut self, id: &str, synced: bool, now: Instant) {
+        let Some(machine) = self.machines.get(id) else { return };
+        let Some(holding) = self.role.holding else { return };
+        let token = machine.token(holding.epoch);
+        let session = machine.session;
+        let mut ends = Vec::new();
+        let mut raise = false;
+        for task in &machine.tasks {
+            let Some(Job::Open(job)) = self.jobs.get_mut(&task.job) else { continue };
+            let Some(placed) = job.placed.get_mut(&task.index).filter(|p| p.committed && p.machine == id)
+            else {
+                continue;
+            };
+            if session > placed.session {
+                // The worker's lease ended: it killed and forgot its tasks.
+                ends.push((task.clone(), placed.attempt, None));
+                continue;
+            }
+            if !synced {
+                continue;
+            }
+            match machine.reported.get(task).filter(|r| r.attempt == placed.attempt) {
+                Some(report) if report.state == TaskState::Exited => {
+                    let why = report.why.unwrap_or(ExitReason::Other);
+                    ends.push((task.clone(), placed.attempt, Some(why)));
+                }
+                Some(report) if report.state == TaskState::Running => {
+                    placed.running.get_or_insert(now);
+                }
+                Some(_) => {}
+                None if placed.stop.is_some() && !machine.commanding => {
+                    // It is not there. That proves nothing while a start can
+                    // still be on its way under the present token, and all if
+                    // the worker has since accepted a higher one.
+                    if placed.sent < token {
+                        ends.push((task.clone(), placed.attempt, None));
+                    } else {
+                        raise = true;
+                    }
+                }
+                None => {}
+            }
+        }
+        let ran: Vec<String> = machine
+            .reported
+            .iter()
+            .filter(|(_, r)| r.state == TaskState::Running)
+            .filter_map(|(t, _)| self.open_job(&t.job).and_then(|j| j.need.image.clone()))
+            .collect();
+        // What no record has on this machine must end before it runs elsewhere.
+        self.ghosts.retain(|_, on| on != id);
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        for image in ran {
+            machine.images.insert(image, true);
+        }
+        for (task, report) in &machine.reported {
+            if report.state != TaskState::Exited && !machine.tasks.contains(task) {
+                self.ghosts.insert(task.clone(), id.to_string());
+            }
+        }
+        if raise {
+            machine.raise_token();
+            self.wakes.command.insert(id.to_string());
+        }
+        for (task, attempt, why) in ends {
+            self.end(&task, attempt, why, id, now);
+        }
+    }
+
+    /// Notes that a task's stay on a machine has ended, by proof, for whatever
+    /// reason; `None`: the session, or the machine, is gone.
+    fn end(&mut self, task: &TaskId, attempt: u64, why: Option<ExitReason>, id: &str, now: Instant) {
+        let Some(Job::Open(job)) = self.jobs.get_mut(&task.job) else { return };
+        let done = why == Some(ExitReason::Done);
+        if job.exits.insert(task.index, Exit { attempt, done }).is_some() {
+            return;
+        }
+        match why {
+            Some(ExitReason::Done) => {
+                job.failed_on.clear();
+                job.failures = 0;
+            }
+            Some(ExitReason::Error) => {
+                job.failed(id, now);
+                tracing::info!(task = %task, machine = id, "a task failed");
+                let alone = job.failed_on.len() < 2;
+                let machines: Vec<String> = job.failed_on.iter().cloned().collect();
+                for name in machines {
+                    if let Some(machine) = self.machines.get_mut(&name) {
+                        if alone {
+                            machine.failed_jobs.insert(task.job.clone());
+                        } else {
+                            // It fails elsewhere too: the job's fault.
+                            machine.failed_jobs.remove(&task.job);
+                        }
+                    }
+                }
+                self.wakes.fleet = true;
+            }
+            Some(ExitReason::Full | ExitReason::InUse | ExitReason::NoSuch) => {
+                tracing::info!(task = %task, machine = id, ?why, "a start was refused");
+                if let Some(Job::Open(job)) = self.jobs.get_mut(&task.job) {
+                    job.not_before = Some(now + Duration::from_secs(1));
+                }
+            }
+            _ => {}
+        }
+        self.dirty.insert(task.job.clone());
+        self.wakes.flush = true;
+    }
+
+    /// Ends everything on a machine whose release was answered: it is gone.
+    pub fn machine_gone(&mut self, id: &str, now: Instant) {
+        self.gone.insert(id.to_string());
+        self.ghosts.retain(|_, on| on != id);
+        let Some(machine) = self.machines.get(id) else { return };
+        for task in machine.tasks.clone() {
+            let attempt = self
+                .open_job(&task.job)
+                .and_then(|j| j.placed.get(&task.index))
+                .filter(|p| p.committed && p.machine == id)
+                .map(|p| p.attempt);
+            if let Some(attempt) = attempt {
+                self.end(&task, attempt, None, id, now);
+            }
+        }
+        self.wakes.fleet = true;
+    }
+
+    /// The cloud takes a machine soon: tasks that can't finish before are moved.
+    fn notice(&mut self, id: &str, now: Instant) {
+        let Some(machine) = self.machines.get(id) else { return };
+        let Some(taken_at) = machine.taken_at else { return };
+        let left = taken_at.saturating_duration_since(now).as_secs_f64();
+        tracing::info!(machine = id, left, tasks = machine.tasks.len(), "the cloud takes a machine back");
+        for task in machine.tasks.clone() {
+            let Some(job) = self.open_job_mut(&task.job) else { continue };
+            let estimate = job.spec.estimate_s;
+            let Some(placed) = job.placed.get_mut(&task.index) else { continue };
+            let ran = placed.running.map_or(0.0, |r| now.saturating_duration_since(r).as_secs_f64());
+            if placed.stop.is_none() && estimate - ran > left {
+                placed.stop = Some(Stop::Notice);
+            }
+        }
+        self.wakes.place = true;
+        self.wakes.fleet = true;
+    }
+
+    /// The difference between what the records want of a machine and what it
+    /// last reported. `clear` is only told in the answer to a report: it is the
+    /// one command that must not be overtaken by a repeated start.
+    fn orders(&self, id: &str, in_answer: bool, now: Instant) -> Vec<Order> {
+        let (Some(machine), Some(holding)) = (self.machines.get(id), self.role.holding) else {
+            return Vec::new();
+        };
+        let synced = machine.synced(holding.epoch);
+        let mut orders = Vec::new();
+        for (task, report) in &machine.reported {
+            let own = self
+                .open_job(&task.job)
+                .and_then(|j| j.placed.get(&task.index))
+                .filter(|p| p.committed && p.machine == id && p.attempt == report.attempt);
+            match (own, report.state) {
+                (None, TaskState::Exited) if in_answer && synced && !machine.commanding => {
+                    orders.push(Order::Clear { task: report.task.clone(), attempt: report.attempt });
+                }
+                (None, TaskState::Exited) => {}
+                (None, _) => orders.push(Order::Kill {
+                    task: report.task.clone(),
+                    attempt: report.attempt,
+                    grace_s: 0.0,
+                }),
+                (Some(placed), state) if state != TaskState::Exited => {
+                    if let Some(stop) = placed.stop {
+                        let grace_s = self.grace(task, stop, machine, now);
+                        if state != TaskState::Saving || grace_s == 0.0 {
+                            orders.push(Order::Kill {
+                                task: report.task.clone(),
+                                attempt: report.attempt,
+                                grace_s,
+                            });
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+        for task in &machine.tasks {
+            let Some(job) = self.open_job(&task.job) else { continue };
+            let Some(placed) = job.placed.get(&task.index) else { continue };
+            let here = placed.committed && placed.machine == id && placed.session == machine.session;
+            // Under another attempt it is still to be cleared there first.
+            let listed = machine.reported.contains_key(task);
+            if here && placed.stop.is_none() && !listed && !job.exits.contains_key(&task.index) {
+                orders.push(Order::Start { task: task.to_string(), attempt: placed.attempt });
+            }
+        }
+        orders.truncate(MAX_ORDERS);
+        orders
+    }
+
+    /// How long a task that is stopped may save.
+    fn grace(&self, task: &TaskId, stop: Stop, machine: &Machine, now: Instant) -> f64 {
+        let Some(job) = self.open_job(&task.job) else { return 0.0 };
+        if stop == Stop::Withdrawn || job.spec.checkpoint_s <= 0.0 {
+            return 0.0;
+        }
+        let wanted = job.spec.save_s + 1.0;
+        match machine.taken_at {
+            Some(at) if stop == Stop::Notice => wanted.min(at.saturating_duration_since(now).as_secs_f64()),
+            _ => wanted,
+        }
+    }
+
+    fn note_sent(&mut self, id: &str, orders: &[Order], token: u64) {
+        for order in orders {
+            let Order::Start { task, .. } = order else { continue };
+            let Some(task) = TaskId::parse(task) else { continue };
+            let mut image = None;
+            if let Some(job) = self.open_job_mut(&task.job) {
+                image.clone_from(&job.need.image);
+                if let Some(placed) = job.placed.get_mut(&task.index) {
+                    placed.sent = token;
+                }
+            }
+            if let (Some(image), Some(machine)) = (image, self.machines.get_mut(id)) {
+                machine.images.entry(image).or_insert(false);
+            }
+        }
+    }
+
+    /// Direct commands that a machine should receive now, with its address.
+    pub fn next_command(&mut self, id: &str, now: Instant) -> Option<(String, DirectOrders)> {
+        let holding = self.holding(now)?;
+        let machine = self.machines.get(id)?;
+        let unknown = machine.session == 0 || machine.commanding || machine.releasing;
+        if unknown || machine.command_after.is_some_and(|at| at > now) {
+            return None;
+        }
+        let orders = self.orders(id, false, now);
+        let machine = self.machines.get_mut(id)?;
+        // Without commands a message still brings the present token to the
+        // worker, so that its tasks are known and it can take work soon.
+        let behind = !machine.synced(holding.epoch);
+        if orders.is_empty() && !behind {
+            return None;
+        }
+        let address = machine.address.clone()?;
+        machine.commanding = true;
+        let (token, session) = (machine.token(holding.epoch), machine.session);
+        self.note_sent(id, &orders, token);
+        Some((address, DirectOrders { token, session, orders }))
+    }
+
+    /// Notes what became of direct commands: answered, with the worker's report
+    /// if it could be read; certainly not delivered; or unknown.
+    pub fn command_ended(&mut self, id: &str, sent: &DirectOrders, end: CommandEnd<'_>, now: Instant) {
+        let Some(holding) = self.role.holding else { return };
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        if machine.token(holding.epoch) >> 20 != sent.token >> 20 {
+            return;
+        }
+        machine.commanding = false;
+        match end {
+            CommandEnd::Answered(report) => {
+                // Refused for a newer token: whoever holds that is in command.
+                machine.command_after = (report.token > sent.token).then(|| now + Duration::from_secs(1));
+                if report.machine == id {
+                    self.take_report(report, now);
+                }
+            }
+            CommandEnd::NotDelivered => machine.command_after = Some(now + Duration::from_secs(1)),
+            CommandEnd::Unknown => {
+                // They may be executed much later, also after the task has moved
+                // or was cleared: a higher token makes them void.
+                machine.raise_token();
+                machine.command_after = Some(now + Duration::from_secs(1));
+                tracing::debug!(machine = id, "outcome of commands unknown, token raised");
+            }
+        }
+        self.wakes.command.insert(id.to_string());
+    }
+}
+
+/// What became of direct commands.
+#[derive(Debug, Clone, Copy)]
+pub enum CommandEnd<'a> {
+    /// The worker answered.
+    Answered(&'a Report),
+    /// They certainly never left.
+    NotDelivered,
+    /// Nobody knows.
+    Unknown,
+}
--- /dev/null
+++ b/crates/dapplecroft-controller/src/loops.rs
@@ -0,0 +1,31 @@
+//! The loops of a controller: each works out the difference between what is
+//! wanted and what is, and carries it out.
+
+mod election;
+mod fleet;
+mod follow;
+mod work;
+
+use crate::node::Node;
+use std::sync::Arc;
+use tokio::task::JoinSet;
+
+impl Node {
+    /// Sets all loops going and returns only if one of them ends, which none
+    /// does by itself.
+    pub async fn run(self: &Arc<Self>) {
+        let mut loops = JoinSet::new();
+        loops.spawn(self.clone().follow_loop());
+        loops.spawn(self.clone().beat_loop());
+        loops.spawn(self.clone().question_loop());
+        loops.spawn(self.clone().place_loop());
+        loops.spawn(self.clone().flush_loop());
+        loops.spawn(self.clone().command_loop());
+        loops.spawn(self.clone().fleet_loop());
+        loops.spawn(self.clone().cloud_loop());
+        loops.spawn(self.clone().health_loop());
+        let node = self.clone();
+        loops.spawn(async move { node.committer.run(node.state.clone()).await });
+        loops.join_next().await;
+    }
+}
--- /dev/null
+++ b/crates/dapplecroft-controller/src/loops/election.rs
@@ -0,0 +1,252 @@
+//! Liveness, the election of the leader, and the lease of the block.
+
+use crate::core::Holding;
+use crate::node::{Node, lock, now};
+use crate::records::{self, BlockRecord, LeaderRecord, LiveRecord};
+use dapplecroft_net::Outcome;
+use dapplecroft_state::Verdicts;
+use dapplecroft_wire::state::{Change, Condition, Transaction};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde::Serialize;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use tokio::time::{sleep, timeout};
+
+fn value<T: Serialize>(record: &T) -> serde_json::Value {
+    serde_json::to_value(record).unwrap_or_default()
+}
+
+impl Node {
+    /// Renews this node's lease, stands for election when there is no leader,
+    /// and as leader confirms again and again that it still is.
+    pub(crate) async fn beat_loop(self: Arc<Self>) {
+        let mut random = StdRng::seed_from_u64(self.seed);
+        let beat = self.options.node_lease / 4;
+        let mut touch_at = now();
+        loop {
+            let loaded = self.with(|core| core.loaded);
+            if loaded {
+                if now() >= touch_at {
+                    let ok = self.touch().await;
+                    touch_at = now() + if ok { beat } else { beat / 4 };
+                }
+                self.stand(&mut random).await;
+                self.take_block().await;
+            }
+            let wait = touch_at.saturating_duration_since(now()).max(Duration::from_millis(5));
+            let _ = timeout(wait, self.wake_role.notified()).await;
+        }
+    }
+
+    /// Renews the lease, or gets one with this node's liveness key on it.
+    async fn touch(&self) -> bool {
+        let sent = now();
+        let Some(lease) = self.with(|core| core.role.lease) else {
+            return self.enter().await;
+        };
+        match self.state.touch(lease).await {
+            Outcome::Done(true) => {
+                *lock(&self.touched) = Some(sent);
+                self.confirm().await;
+                true
+            }
+            Outcome::Done(false) => {
+                tracing::info!("lease ended");
+                self.with(|core| {
+                    core.role.lease = None;
+                    core.resign("lease ended");
+                });
+                false
+            }
+            Outcome::Refused(error) | Outcome::Unknown(error) => {
+                tracing::debug!(error, "lease not renewed");
+                false
+            }
+        }
+    }
+
+    async fn enter(&self) -> bool {
+        let host = &self.settings.host_name;
+        // A key of the same name belongs to a process that this one replaces:
+        // there is one at a time, so it has ended and its lease can go at once.
+        let before =
+            self.with(|core| core.live.get(host).filter(|l| l.identity != core.identity).map(|l| l.lease));
+        if let Some(lease) = before {
+            tracing::info!("ending the lease of this node's earlier process");
+            let _ = self.state.revoke(lease).await;
+        }
+        let Outcome::Done(lease) = self.state.grant(self.options.node_lease).await else { return false };
+        let record = LiveRecord { identity: self.with(|core| core.identity.clone()), lease };
+        let key = records::live_key(host);
+        let change = Change::Set { key, value: value(&record), lease: Some(lease) };
+        let transaction = Transaction { conditions: Vec::new(), changes: vec![change] };
+        match self.state.transact(&transaction, true).await {
+            Outcome::Done(Verdicts::Committed(revision)) => {
+                *lock(&self.touched) = Some(now());
+                self.with(|core| {
+                    core.role.lease = Some(lease);
+                    core.apply_changes(&transaction.changes, revision, now());
+                });
+                true
+            }
+            _ => {
+                let _ = self.state.revoke(lease).await;
+                false
+            }
+        }
+    }
+
+    /// Stands for election if there is no leader.
+    async fn stand(&self, random: &mut StdRng) {
+        let vacant = |core: &mut crate::core::Core| {
+            (core.leader.is_none() && core.role.lease.is_some()).then_some(core.role.lease).flatten()
+        };
+        let own = self.with(|core| {
+            let (leader, version) = core.leader.as_ref()?;
+            let unused = core.role.leadership.is_none() && core.role.lease.is_some();
+            (unused && leader.identity == core.identity).then_some(*version)
+        });
+        if let Some(version) = own {
+            tracing::info!(term = version, "elected leader");
+            self.with(|core| core.lead(version));
+            self.set_rates(true);
+            return;
+        }
+        if self.with(vacant).is_none() || self.consulting.load(Ordering::Relaxed) {
+            return;
+        }
+        // Not all at once: whoever is first saves the others the attempt.
+        sleep(Duration::from_millis(random.random_range(0..80))).await;
+        let Some(lease) = self.with(vacant) else { return };
+        let identity = self.with(|core| core.identity.clone());
+        let record = LeaderRecord { host: self.settings.host_name.clone(), identity };
+        let transaction = Transaction {
+            conditions: vec![Condition { key: records::LEADER.into(), version: 0 }],
+            changes: vec![Change::Set {
+                key: records::LEADER.into(),
+                value: value(&record),
+                lease: Some(lease),
+            }],
+        };
+        match self.state.transact(&transaction, true).await {
+            Outcome::Done(Verdicts::Committed(revision)) => {
+                tracing::info!(term = revision, "elected leader");
+                self.with(|core| {
+                    core.apply_changes(&transaction.changes, revision, now());
+                    core.lead(revision);
+                });
+                self.set_rates(true);
+            }
+            Outcome::Done(Verdicts::Conflict(_)) => {
+                self.refresh(records::LEADER, || true).await;
+            }
+            // If it is carried out all the same, now or late, the key shows up
+            // as this process's own.
+            Outcome::Refused(_) | Outcome::Unknown(_) => {
+                sleep(Duration::from_millis(200)).await;
+            }
+        }
+    }
+
+    /// As leader, leases the block to this process once all that earlier
+    /// leaders committed is known: nothing of theirs can be committed any more,
+    /// since every such commit names their key's version.
+    async fn take_block(&self) {
+        let ready = self.with(|core| {
+            let leadership = core.role.leadership?;
+            let wanted = core.role.holding.is_none() && core.followed >= leadership;
+            wanted.then(|| {
+                let (epoch, version) = core.block.as_ref().map_or((0, 0), |(b, v)| (b.epoch, *v));
+                (leadership, epoch, version, core.identity.clone())
+            })
+        });
+        let Some((leadership, old_epoch, version, identity)) = ready else { return };
+        // The epoch comes from a revision of the state service, and only grows.
+        let epoch = (old_epoch + 1).max(leadership);
+        let record = BlockRecord { host: self.settings.host_name.clone(), identity, epoch };
+        let transaction = Transaction {
+            conditions: vec![
+                Condition { key: records::LEADER.into(), version: leadership },
+                Condition { key: records::BLOCK.into(), version },
+            ],
+            changes: vec![Change::Set { key: records::BLOCK.into(), value: value(&record), lease: None }],
+        };
+        let sent = now();
+        match self.state.transact(&transaction, true).await {
+            Outcome::Done(Verdicts::Committed(revision)) => {
+                tracing::info!(epoch, "block leased");
+                self.with(|core| {
+                    core.apply_changes(&transaction.changes, revision, now());
+                    core.hold(Holding { epoch, version: revision }, now());
+                    core.confirmed(sent, revision);
+                });
+            }
+            Outcome::Done(Verdicts::Conflict(failed)) => {
+                for key in failed {
+                    self.refresh(&key, || true).await;
+                }
+            }
+            Outcome::Refused(_) | Outcome::Unknown(_) => {
+                sleep(Duration::from_millis(200)).await;
+                self.refresh(records::BLOCK, || true).await;
+            }
+        }
+    }
+
+    /// As holder, asks whether leadership and block are still this process's.
+    async fn confirm(&self) {
+        let Some(conditions) = self.with(|core| core.role_conditions()) else { return };
+        let sent: Instant = now();
+        let transaction = Transaction { conditions, changes: Vec::new() };
+        match self.state.transact(&transaction, true).await {
+            Outcome::Done(Verdicts::Committed(revision)) => {
+                self.with(|core| core.confirmed(sent, revision));
+            }
+            Outcome::Done(Verdicts::Conflict(failed)) => {
+                tracing::info!(?failed, "leadership lost");
+                self.with(|core| core.resign("replaced"));
+                self.set_rates(false);
+                for key in failed {
+                    self.refresh(&key, || true).await;
+                }
+            }
+            Outcome::Refused(error) | Outcome::Unknown(error) => {
+                tracing::debug!(error, "leadership not confirmed");
+            }
+        }
+    }
+
+    /// The leader writes most; the others only what users ask of them.
+    pub(crate) fn set_rates(&self, leader: bool) {
+        let params = &self.settings.params;
+        let others = f64::from(params.nodes.max(1) - 1).max(1.0);
+        let part = if leader { 0.6 } else { 0.4 / others };
+        let part = if params.nodes == 1 { 0.95 } else { part };
+        self.state.set_rates(params.state.rps * part, (params.state.write_rps * part).max(2.0));
+    }
+
+    /// Watches whether this node alone has lost the state service: then users
+    /// are better served elsewhere. In an outage that all share it stays
+    /// healthy, since being taken out and back in costs users more.
+    pub(crate) async fn health_loop(self: Arc<Self>) {
+        loop {
+            sleep(Duration::from_secs(1)).await;
+            let age = lock(&self.touched).map(|at| now().saturating_duration_since(at));
+            let lost = self.with(|core| core.loaded) && age.is_none_or(|a| a > self.options.node_lease);
+            let mut alone = false;
+            if lost {
+                for peer in &self.settings.peers {
+                    if let Some(sight) = self.peers.sight(peer).await {
+                        let fresh = u128::from(sight.state_age_ms) < self.options.node_lease.as_millis();
+                        alone |= sight.ready && fresh;
+                    }
+                }
+            }
+            if alone != self.alone.swap(alone, Ordering::Relaxed) {
+                tracing::info!(alone, "whether this node alone has lost the state service");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dapplecroft-controller/src/loops/fleet.rs
@@ -0,0 +1,202 @@
+//! The cloud: machine types, lists, rentals, releases, and silent machines.
+
+use crate::node::{Node, now};
+use crate::records;
+use dapplecroft_cloud::{MAX_RELEASE, Rented};
+use dapplecroft_net::Outcome;
+use dapplecroft_state::{Unit, UnitResult};
+use dapplecroft_wire::cloud::{Catalog, RentRequest};
+use dapplecroft_wire::state::{Change, Condition};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+const STEP: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_secs(1);
+const CATALOG_EVERY: Duration = Duration::from_secs(20);
+const LIST_EVERY: Duration = Duration::from_secs(4);
+/// How long a node that was cut from its workers stays out of elections.
+const ABSTAIN: Duration = Duration::from_secs(15);
+
+impl Node {
+    /// Works off the difference between the wanted fleet and the known one.
+    pub(crate) async fn fleet_loop(self: Arc<Self>) {
+        loop {
+            let _ = timeout(STEP, self.wake_fleet.notified()).await;
+            let actions = self.with(|core| core.fleet_step(now()));
+            for request in actions.rent {
+                let node = self.clone();
+                self.spawn(async move { node.rent(request).await });
+            }
+            for ids in actions.release.chunks(MAX_RELEASE) {
+                let (node, ids) = (self.clone(), ids.to_vec());
+                self.spawn(async move { node.release(ids).await });
+            }
+            for (id, address) in actions.probe {
+                let node = self.clone();
+                self.spawn(async move { node.probe(id, address).await });
+            }
+            for (id, unit) in actions.records {
+                let node = self.clone();
+                self.spawn(async move { node.record(id, unit).await });
+            }
+            if !actions.silent.is_empty() && !self.consulting.swap(true, Ordering::Relaxed) {
+                let node = self.clone();
+                self.spawn(async move {
+                    node.consult(actions.silent).await;
+                    node.consulting.store(false, Ordering::Relaxed);
+                });
+            }
+            // Several reasons to look again make one look.
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    fn leads(&self) -> bool {
+        self.with(|core| core.is_holder())
+    }
+
+    /// Repeats a request under its name until its outcome is certain. If this
+    /// process loses its role before, what was rented turns up in the list.
+    async fn rent(&self, request: RentRequest) {
+        while self.leads() {
+            match self.cloud.rent(&request).await {
+                Outcome::Done(Rented::Machines(machines)) => {
+                    return self.with(|core| core.rented(&request, &machines, now()));
+                }
+                Outcome::Done(Rented::NoCapacity) => {
+                    return self.with(|core| core.rented(&request, &[], now()));
+                }
+                Outcome::Refused(error) | Outcome::Unknown(error) => {
+                    tracing::debug!(error, "rental not answered");
+                    sleep(PAUSE).await;
+                }
+            }
+        }
+        self.with(|core| core.rent_dropped(&request));
+    }
+
+    async fn release(&self, ids: Vec<String>) {
+        while self.leads() {
+            match self.cloud.release(&ids).await {
+                Outcome::Done(()) => return self.with(|core| core.released(&ids, now())),
+                Outcome::Refused(error) | Outcome::Unknown(error) => {
+                    tracing::debug!(error, "release not answered");
+                    sleep(PAUSE).await;
+                }
+            }
+        }
+        self.with(|core| core.release_failed(&ids));
+    }
+
+    async fn record(&self, id: String, unit: Unit) {
+        let result = self.committer.commit(unit.clone()).await;
+        if let UnitResult::Committed(revision) = result {
+            self.with(|core| core.apply_changes(&unit.changes, revision, now()));
+        } else {
+            sleep(PAUSE).await;
+        }
+        self.with(|core| core.recorded(&id));
+    }
+
+    async fn probe(&self, id: String, address: String) {
+        let report = self.ask_status(&address).await;
+        self.with(|core| match report {
+            Some(report) if report.machine == id => {
+                core.probe_answered(&id);
+                core.take_report(&report, now());
+            }
+            _ => core.probe_missed(&id),
+        });
+    }
+
+    /// Asks the other nodes about silent machines. If they reach what this node
+    /// does not, this node is cut off: it gives up its role and releases
+    /// nothing. Only what nobody reaches is given up.
+    async fn consult(&self, silent: Vec<(String, String)>) {
+        let addresses: Vec<String> =
+            silent.iter().map(|(_, a)| a.clone()).filter(|a| !a.is_empty()).collect();
+        let mut reached = std::collections::HashSet::new();
+        let mut answers = 0;
+        for peer in &self.settings.peers {
+            if let Some(addresses) = self.peers.probe(peer, addresses.clone()).await {
+                answers += 1;
+                reached.extend(addresses);
+            }
+        }
+        let all = self.with(|core| core.heard_machines());
+        let most = silent.len() * 2 > all && all > 2;
+        if reached.len() * 2 > silent.len() && most {
+            tracing::info!(silent = silent.len(), all, "others reach the workers that this node does not");
+            let lease = self.with(|core| {
+                core.resign("cut off from the workers");
+                core.role.lease.take()
+            });
+            if let Some(lease) = lease {
+                let _ = self.state.revoke(lease).await;
+            }
+            sleep(ABSTAIN).await;
+            return;
+        }
+        if answers == 0 && most {
+            tracing::info!(silent = silent.len(), all, "most machines are silent and nobody can be asked");
+            sleep(PAUSE * 2).await;
+            return;
+        }
+        let given_up: Vec<String> =
+            silent.into_iter().filter(|(_, a)| !reached.contains(a)).map(|(id, _)| id).collect();
+        if !given_up.is_empty() {
+            tracing::info!(machines = ?given_up, "silent machines are given up");
+            self.with(|core| core.condemn(&given_up));
+        }
+    }
+
+    /// Keeps the machine types and the list of machines up to date.
+    pub(crate) async fn cloud_loop(self: Arc<Self>) {
+        let mut catalog_at = now();
+        let mut list_at = now();
+        loop {
+            let known = self.with(|core| core.catalog.is_some());
+            // Others only need the types, and have them from the records.
+            if (self.leads() || !known) && now() >= catalog_at {
+                let ok = self.read_catalog().await;
+                catalog_at = now() + if ok { CATALOG_EVERY } else { PAUSE * 2 };
+            }
+            if self.leads() && now() >= list_at {
+                if let Outcome::Done(list) = self.cloud.machines().await {
+                    self.with(|core| core.listed(&list, now()));
+                }
+                list_at = now() + LIST_EVERY;
+            }
+            sleep(PAUSE).await;
+        }
+    }
+
+    async fn read_catalog(&self) -> bool {
+        let catalog: Catalog = match self.cloud.catalog().await {
+            Outcome::Done(catalog) if !catalog.hulls.is_empty() => catalog,
+            _ => return false,
+        };
+        let value = serde_json::to_value(&catalog).unwrap_or_default();
+        let (behind, version) =
+            self.with(|core| (core.take_catalog(catalog), core.version(records::CATALOG)));
+        if !behind {
+            return true;
+        }
+        // Kept so that a restart during an outage of the cloud still knows.
+        let key = records::CATALOG.to_string();
+        let unit = Unit {
+            conditions: vec![Condition { key: key.clone(), version }],
+            changes: vec![Change::Set { key, value, lease: None }],
+        };
+        match self.committer.commit(unit.clone()).await {
+            UnitResult::Committed(revision) => {
+                self.with(|core| core.apply_changes(&unit.changes, revision, now()));
+                true
+            }
+            UnitResult::Conflict(_) => true,
+            UnitResult::Refused(_) | UnitResult::Unknown(_) => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -0,0 +1,136 @@
+//! Placement rounds, commits of jobs, and direct commands to workers.
+
+use crate::core::{CommandEnd, JobUnit, UnitEnd};
+use crate::node::{Node, lock, now};
+use dapplecroft_net::{Failure, Request};
+use dapplecroft_state::UnitResult;
+use dapplecroft_wire::workers::{DirectOrders, Report};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Shortest pause between rounds.
+const ROUND: Duration = Duration::from_millis(30);
+/// Longest pause between rounds.
+const LONGEST_ROUND: Duration = Duration::from_millis(500);
+/// A round is due at least this often: pauses end, machines fall silent.
+const TICK: Duration = Duration::from_secs(1);
+/// How long a worker has to answer direct commands.
+const COMMAND_TIMEOUT: Duration = Duration::from_secs(3);
+
+impl Node {
+    /// Rounds of placement. What comes up during a round or the pause after it
+    /// is decided together in the next; the pause grows with the time that a
+    /// round takes, so batches widen with the load.
+    pub(crate) async fn place_loop(self: Arc<Self>) {
+        loop {
+            let _ = timeout(TICK, self.wake_place.notified()).await;
+            let began = now();
+            let unit = self.with(|core| {
+                core.place(now());
+                core.drain_step(now())
+            });
+            if let Some(unit) = unit {
+                let result = self.committer.commit(unit.clone()).await;
+                match result {
+                    UnitResult::Committed(revision) => {
+                        self.with(|core| core.apply_changes(&unit.changes, revision, now()));
+                    }
+                    // The next round sees what became of it.
+                    UnitResult::Conflict(_) | UnitResult::Refused(_) | UnitResult::Unknown(_) => {}
+                }
+            }
+            let took = now().saturating_duration_since(began);
+            sleep((took * 4).clamp(ROUND, LONGEST_ROUND)).await;
+        }
+    }
+
+    /// Starts a commit for each job that has something to commit.
+    pub(crate) async fn flush_loop(self: Arc<Self>) {
+        loop {
+            while let Some(unit) = self.with(|core| core.next_unit()) {
+                let node = self.clone();
+                self.spawn(async move { node.commit_job(unit).await });
+            }
+            let _ = timeout(TICK, self.wake_flush.notified()).await;
+        }
+    }
+
+    /// Commits a unit until its outcome is certain. One whose outcome is
+    /// unknown may be made much later; trying the same again settles it, since
+    /// only one of the two can find its conditions true.
+    async fn commit_job(&self, unit: JobUnit) {
+        let in_office = || self.with(|core| core.role.holding.is_some_and(|h| h.epoch == unit.epoch));
+        let mut pause = Duration::from_millis(100);
+        loop {
+            match self.committer.commit(unit.unit.clone()).await {
+                UnitResult::Committed(revision) => {
+                    self.with(|core| core.unit_ended(&unit, UnitEnd::Committed(revision), now()));
+                    return;
+                }
+                UnitResult::Conflict(failed) => {
+                    for key in failed {
+                        self.refresh(&key, in_office).await;
+                    }
+                    break;
+                }
+                UnitResult::Refused(error) if error.starts_with("status 400") => {
+                    tracing::error!(error, job = %unit.job, "the state service refuses a change as malformed");
+                    sleep(Duration::from_secs(5)).await;
+                    break;
+                }
+                UnitResult::Refused(error) | UnitResult::Unknown(error) => {
+                    tracing::debug!(error, job = %unit.job, "a change is not committed yet");
+                }
+            }
+            if !in_office() {
+                break;
+            }
+            sleep(pause).await;
+            pause = (pause * 2).min(Duration::from_secs(1));
+        }
+        self.with(|core| core.unit_ended(&unit, UnitEnd::NotMade, now()));
+    }
+
+    /// Sends direct commands to the machines that have some to receive.
+    pub(crate) async fn command_loop(self: Arc<Self>) {
+        loop {
+            let ids = std::mem::take(&mut *lock(&self.to_command));
+            for id in ids {
+                if let Some((address, orders)) = self.with(|core| core.next_command(&id, now())) {
+                    let node = self.clone();
+                    self.spawn(async move { node.command(&id, address, orders).await });
+                }
+            }
+            self.wake_command.notified().await;
+        }
+    }
+
+    async fn command(self: &Arc<Self>, id: &str, address: String, orders: DirectOrders) {
+        let Ok(body) = serde_json::to_vec(&orders) else { return };
+        let request = Request {
+            address,
+            method: http::Method::POST,
+            path: "/do".into(),
+            body: body.into(),
+            timeout: COMMAND_TIMEOUT,
+        };
+        let answer = self.transport.send(request).await;
+        let report: Option<Report> = match &answer {
+            Ok(r) if r.status == 200 || r.status == 409 => serde_json::from_slice(&r.body).ok(),
+            _ => None,
+        };
+        let end = match (&answer, &report) {
+            (Ok(_), Some(report)) => CommandEnd::Answered(report),
+            (Err(Failure::NotSent(_)), _) => CommandEnd::NotDelivered,
+            (Ok(r), None) if r.status == 400 => CommandEnd::NotDelivered,
+            _ => CommandEnd::Unknown,
+        };
+        self.with(|core| core.command_ended(id, &orders, end, now()));
+        if !matches!(end, CommandEnd::Answered(_)) {
+            // Its next try is due after a pause, unless a report comes first.
+            sleep(Duration::from_secs(1)).await;
+            self.with(|core| core.wakes.command.insert(id.to_string()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/dapplecroft-controller/src/node.rs
@@ -0,0 +1,247 @@
+//! One controller: the core behind a lock, its clients, and request handling.
+
+use crate::core::{Core, HelloAnswer, Wakes};
+use crate::options::Options;
+use crate::peers::Peers;
+use bytes::Bytes;
+use dapplecroft_cloud::CloudClient;
+use dapplecroft_net::Transport;
+use dapplecroft_state::{Committer, StateClient};
+use dapplecroft_wire::settings::Settings;
+use dapplecroft_wire::users::Problem;
+use dapplecroft_wire::workers::{Redirect, Report};
+use http::Method;
+use serde::Serialize;
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Instant, SystemTime};
+use tokio::sync::{Notify, oneshot};
+use tokio::task::JoinSet;
+
+/// What a controller is put together from.
+pub struct Parts {
+    /// The platform's settings.
+    pub settings: Arc<Settings>,
+    /// The operators' settings.
+    pub options: Options,
+    /// The identity of this process: another one at every start.
+    pub identity: String,
+    /// Carries requests to outside systems.
+    pub transport: Arc<dyn Transport>,
+    /// The other controllers.
+    pub peers: Arc<dyn Peers>,
+    /// The time of day.
+    pub wall: fn() -> SystemTime,
+    /// Seed of what little chance there is (who stands for election when).
+    pub seed: u64,
+}
+
+/// An answer to a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reply {
+    /// Status code.
+    pub status: u16,
+    /// JSON body.
+    pub body: Vec<u8>,
+    /// Value of `Retry-After`.
+    pub retry_after: Option<u32>,
+}
+
+impl Reply {
+    pub(crate) fn json<T: Serialize>(status: u16, body: &T) -> Reply {
+        Reply { status, body: serde_json::to_vec(body).unwrap_or_default(), retry_after: None }
+    }
+
+    pub(crate) fn problem(status: u16, error: &str) -> Reply {
+        Reply::json(status, &Problem { error: error.to_string() })
+    }
+
+    pub(crate) fn busy(error: &str, retry_after: u32) -> Reply {
+        Reply { retry_after: Some(retry_after), ..Reply::problem(503, error) }
+    }
+}
+
+/// A question whether a key still has a version, and where the answer goes.
+pub(crate) struct Question {
+    pub key: String,
+    pub version: u64,
+    pub reply: oneshot::Sender<Answered>,
+}
+
+/// What became of a question.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Answered {
+    /// It was so when asked.
+    Confirmed,
+    /// It was not, and has been read again.
+    Renewed,
+    /// The state service could not be asked.
+    Unavailable,
+}
+
+/// One controller.
+pub struct Node {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) options: Options,
+    pub(crate) transport: Arc<dyn Transport>,
+    pub(crate) peers: Arc<dyn Peers>,
+    pub(crate) state: Arc<StateClient>,
+    pub(crate) cloud: CloudClient,
+    pub(crate) committer: Committer,
+    pub(crate) wall: fn() -> SystemTime,
+    pub(crate) seed: u64,
+    core: Mutex<Core>,
+    tasks: Mutex<JoinSet<()>>,
+    pub(crate) questions: Mutex<Vec<Question>>,
+    pub(crate) wake_questions: Notify,
+    pub(crate) wake_place: Notify,
+    pub(crate) wake_flush: Notify,
+    pub(crate) wake_command: Notify,
+    pub(crate) wake_role: Notify,
+    pub(crate) wake_fleet: Notify,
+    pub(crate) to_command: Mutex<BTreeSet<String>>,
+    pub(crate) requests: AtomicUsize,
+    /// Whether this node alone is out of contact with the state service.
+    pub(crate) alone: AtomicBool,
+    pub(crate) consulting: AtomicBool,
+    /// When the state service last answered this node's lease renewal.
+    pub(crate) touched: Mutex<Option<Instant>>,
+}
+
+/// The steady clock; tests stop and move it.
+pub(crate) fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
+
+/// Units waiting to be committed beyond which new ones are refused.
+const MAX_WAITING_UNITS: usize = 1000;
+
+impl Node {
+    /// Puts a controller together; [`Node::run`] sets it going.
+    pub fn new(parts: Parts) -> Arc<Node> {
+        let settings = parts.settings;
+        let params = &settings.params;
+        let nodes = f64::from(params.nodes);
+        // The limits are the service's, for all nodes together; what one node
+        // leaves unused of its part absorbs the others' bursts.
+        let state = StateClient::new(
+            parts.transport.clone(),
+            settings.services.state.to_string(),
+            params.state.rps / nodes,
+            (params.state.write_rps / nodes).max(2.0),
+        );
+        let cloud = CloudClient::new(
+            parts.transport.clone(),
+            settings.services.cloud.to_string(),
+            params.cloud.rps * 0.8,
+        );
+        Arc::new(Node {
+            committer: Committer::new(params.state.txn_ops, MAX_WAITING_UNITS),
+            core: Mutex::new(Core::new(settings.clone(), parts.options.clone(), parts.identity)),
+            settings,
+            options: parts.options,
+            transport: parts.transport,
+            peers: parts.peers,
+            state: Arc::new(state),
+            cloud,
+            wall: parts.wall,
+            seed: parts.seed,
+            tasks: Mutex::default(),
+            questions: Mutex::default(),
+            wake_questions: Notify::new(),
+            wake_place: Notify::new(),
+            wake_flush: Notify::new(),
+            wake_command: Notify::new(),
+            wake_role: Notify::new(),
+            wake_fleet: Notify::new(),
+            to_command: Mutex::default(),
+            requests: AtomicUsize::new(0),
+            alone: AtomicBool::new(false),
+            consulting: AtomicBool::new(false),
+            touched: Mutex::default(),
+        })
+    }
+
+    /// Works with the core, and wakes the loops that have something to do then.
+    /// The lock is never held across a wait.
+    pub fn with<R>(&self, work: impl FnOnce(&mut Core) -> R) -> R {
+        let (result, wakes) = {
+            let mut core = lock(&self.core);
+            let result = work(&mut core);
+            (result, core.take_wakes())
+        };
+        self.wake(wakes);
+        result
+    }
+
+    fn wake(&self, wakes: Wakes) {
+        if wakes.place {
+            self.wake_place.notify_one();
+        }
+        if wakes.flush {
+            self.wake_flush.notify_one();
+        }
+        if wakes.role {
+            self.wake_role.notify_one();
+        }
+        if wakes.fleet {
+            self.wake_fleet.notify_one();
+        }
+        if !wakes.command.is_empty() {
+            lock(&self.to_command).extend(wakes.command);
+            self.wake_command.notify_one();
+        }
+    }
+
+    /// Starts a piece of work that ends with the process.
+    pub(crate) fn spawn(&self, work: impl Future<Output = ()> + Send + 'static) {
+        let mut tasks = lock(&self.tasks);
+        while tasks.try_join_next().is_some() {}
+        tasks.spawn(work);
+    }
+
+    /// Ends all work at once, as the end of the process would.
+    pub fn kill(&self) {
+        lock(&self.tasks).abort_all();
+    }
+
+    /// Answers a request to the address that users, workers and health checks use.
+    pub async fn handle(self: &Arc<Self>, method: &Method, path: &str, body: Bytes) -> Reply {
+        match (method, path) {
+            (&Method::GET, "/up") => self.up(),
+            (&Method::POST, "/hello") => self.hello(&body),
+            _ => self.user_request(method, path, body).await,
+        }
+    }
+
+    fn up(&self) -> Reply {
+        let ready = self.with(|core| core.loaded);
+        if ready && !self.alone.load(std::sync::atomic::Ordering::Relaxed) {
+            Reply::json(200, &serde_json::json!({"up": true}))
+        } else {
+            Reply::busy("not ready", 1)
+        }
+    }
+
+    fn hello(&self, body: &[u8]) -> Reply {
+        let report: Report = match serde_json::from_slice(body) {
+            Ok(report) => report,
+            Err(error) => {
+                tracing::warn!(%error, "an unreadable report");
+                return Reply::problem(400, "unreadable report");
+            }
+        };
+        match self.with(|core| core.hello(&report, now())) {
+            HelloAnswer::Orders(orders) => Reply::json(200, &orders),
+            HelloAnswer::Redirect(report_to) => Reply::json(421, &Redirect { report_to }),
+            HelloAnswer::Unavailable => Reply::busy("holder unknown", 1),
+        }
+    }
+}
+
+/// A lock that a panic elsewhere does not spoil.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/dapplecroft-controller/src/options.rs
@@ -0,0 +1,46 @@
+//! Operators' own settings with their defaults.
+
+use std::time::Duration;
+
+/// What operators may tune, beyond what the platform hands over.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Options {
+    /// How long the leader's and the nodes' keys outlive their process.
+    pub node_lease: Duration,
+    /// Longest time that a block lease is good for without a confirmation.
+    pub block_lease: Duration,
+    /// Interval between drains.
+    pub drain_every: Duration,
+    /// Machines up to this dominant share may be drained.
+    pub drain_trigger: f64,
+    /// Window over which the highest share caps what a drain fills.
+    pub drain_window: Duration,
+    /// Whether waiting work may displace running work of lower rank.
+    pub preempt: bool,
+    /// Work that has run longer is not displaced.
+    pub preempt_limit: Duration,
+    /// How long a machine stays idle before it is returned; unset: short where
+    /// an aim asks for thrift, long elsewhere.
+    pub idle_return: Option<Duration>,
+    /// Spare room kept for urgent work, as a part of what its recent tasks took.
+    pub spare: f64,
+    /// Users' requests worked on at a time; more get 503.
+    pub max_requests: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            node_lease: Duration::from_secs(4),
+            block_lease: Duration::from_secs(30),
+            drain_every: Duration::from_secs(10),
+            drain_trigger: 0.5,
+            drain_window: Duration::from_secs(10),
+            preempt: true,
+            preempt_limit: Duration::from_secs(60),
+            idle_return: None,
+            spare: 1.0,
+            max_requests: 256,
+        }
+    }
+}
--- /dev/null
+++ b/crates/dapplecroft-controller/src/users.rs
@@ -0,0 +1,249 @@
+//! The users' interface.
+
+use crate::jobs::Job;
+use crate::node::{Answered, Node, Question, Reply, lock, now};
+use crate::records::{self, JobRecord, JobStage};
+use bytes::Bytes;
+use dapplecroft_sched::Amounts;
+use dapplecroft_state::{Unit, UnitResult};
+use dapplecroft_wire::MAX_BODY;
+use dapplecroft_wire::state::{Change, Condition};
+use dapplecroft_wire::users::{JobSpec, JobStatus, Stage, valid_id};
+use http::Method;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, SystemTime};
+use tokio::sync::oneshot;
+
+/// Users wait 5 s for a submission and 2 s for a poll; after that an answer is
+/// of no use to them.
+const CHANGE_TIMEOUT: Duration = Duration::from_millis(4500);
+const READ_TIMEOUT: Duration = Duration::from_millis(1800);
+
+/// Questions waiting for the state service beyond which reads are refused.
+const MAX_QUESTIONS: usize = 1000;
+
+/// What is known of a job's id, for certain.
+enum Known {
+    /// Its status, fresh.
+    Job(JobStatus),
+    /// There is no such job.
+    Nothing,
+    /// It can't be told now.
+    Unavailable,
+}
+
+impl Node {
+    pub(crate) async fn user_request(self: &Arc<Self>, method: &Method, path: &str, body: Bytes) -> Reply {
+        let Some(rest) = path.strip_prefix("/v2/runs") else {
+            return Reply::problem(404, "no such path");
+        };
+        let parts: Vec<&str> = rest.split('/').skip(1).collect();
+        if body.len() > MAX_BODY {
+            return Reply::problem(400, "over 64 KiB");
+        }
+        // A bounded number of requests at a time: what is more is told to come
+        // back at once instead of waiting for nothing.
+        let slot = self.requests.fetch_add(1, Ordering::Relaxed);
+        let reply = if slot >= self.options.max_requests {
+            Reply::busy("overloaded", 2)
+        } else {
+            match (method, parts.as_slice()) {
+                (&Method::POST, []) => limited(CHANGE_TIMEOUT, self.submit(&body)).await,
+                (&Method::GET, [id]) => limited(READ_TIMEOUT, self.show(id)).await,
+                (&Method::POST, [id, "withdraw"]) => limited(CHANGE_TIMEOUT, self.withdraw(id)).await,
+                (_, [] | [_] | [_, "withdraw"]) => Reply::problem(405, "no such method"),
+                _ => Reply::problem(404, "no such path"),
+            }
+        };
+        self.requests.fetch_sub(1, Ordering::Relaxed);
+        reply
+    }
+
+    /// What is committed about a job. Final states never change, so they are
+    /// answered from memory; anything else, "no such job" included, is
+    /// confirmed with the state service first.
+    async fn known(self: &Arc<Self>, id: &str) -> Known {
+        let key = records::job_key(id);
+        let version = self.with(|core| match core.jobs.get(id) {
+            Some(job @ Job::Final { .. }) => Err(job.status(id)),
+            Some(Job::Open(job)) => Ok(job.version),
+            None => Ok(0),
+        });
+        let version = match version {
+            Ok(version) => version,
+            Err(status) => return Known::Job(status),
+        };
+        if self.ask(key, version).await == Answered::Unavailable {
+            return Known::Unavailable;
+        }
+        match self.with(|core| core.jobs.get(id).map(|job| job.status(id))) {
+            Some(status) => Known::Job(status),
+            None => Known::Nothing,
+        }
+    }
+
+    /// Asks whether a key still has a version; if not, it is read again.
+    async fn ask(&self, key: String, version: u64) -> Answered {
+        let (reply, answer) = oneshot::channel();
+        {
+            let mut questions = lock(&self.questions);
+            if questions.len() >= MAX_QUESTIONS {
+                return Answered::Unavailable;
+            }
+            questions.push(Question { key, version, reply });
+        }
+        self.wake_questions.notify_one();
+        answer.await.unwrap_or(Answered::Unavailable)
+    }
+
+    async fn show(self: &Arc<Self>, id: &str) -> Reply {
+        if !valid_id(id) {
+            return Reply::problem(404, "no such job");
+        }
+        match self.known(id).await {
+            Known::Job(status) => Reply::json(200, &status),
+            Known::Nothing => Reply::problem(404, "no such job"),
+            Known::Unavailable => Reply::busy("state service out of reach", 1),
+        }
+    }
+
+    async fn submit(self: &Arc<Self>, body: &[u8]) -> Reply {
+        let spec = match JobSpec::parse(body) {
+            Ok(spec) => spec,
+            Err(error) => return Reply::problem(400, &error),
+        };
+        let id = spec.id.clone();
+        if self.with(|core| core.jobs.contains_key(id.as_str())) {
+            return self.repeated(&id).await;
+        }
+        match self.judge(&spec) {
+            Judgement::Fits => {}
+            Judgement::Unknown => return Reply::busy("machine types not known yet", 2),
+            Judgement::Never(error) => {
+                // It may have been accepted before the settings changed.
+                return match self.known(&id).await {
+                    Known::Nothing => Reply::problem(422, &error),
+                    Known::Job(status) => Reply::json(200, &status),
+                    Known::Unavailable => Reply::busy("state service out of reach", 1),
+                };
+            }
+        }
+        let key = records::job_key(&id);
+        let chunk = (self.settings.params.state.value_kb * 1024.0 / 96.0) as u32;
+        let at = (self.wall)().duration_since(SystemTime::UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
+        let record = JobRecord {
+            stage: JobStage::Open,
+            tasks: spec.tasks,
+            chunk: chunk.clamp(16, 256),
+            full: Default::default(),
+            done: None,
+            at,
+            spec: Some(spec),
+        };
+        let Ok(value) = serde_json::to_value(&record) else {
+            return Reply::problem(400, "cannot be stored");
+        };
+        if value.to_string().len() as f64 > self.settings.params.state.value_kb * 1024.0 {
+            return Reply::problem(400, "too long to be stored");
+        }
+        let unit = Unit {
+            conditions: vec![Condition { key: key.clone(), version: 0 }],
+            changes: vec![Change::Set { key, value, lease: None }],
+        };
+        match self.committer.commit(unit.clone()).await {
+            UnitResult::Committed(revision) => {
+                self.with(|core| core.apply_changes(&unit.changes, revision, now()));
+                let status = JobStatus { id, stage: Stage::Queued, done: None, running: None };
+                Reply::json(201, &status)
+            }
+            UnitResult::Conflict(_) => self.repeated(&id).await,
+            UnitResult::Refused(_) | UnitResult::Unknown(_) => Reply::busy("not stored", 1),
+        }
+    }
+
+    async fn repeated(self: &Arc<Self>, id: &str) -> Reply {
+        match self.known(id).await {
+            Known::Job(status) => Reply::json(200, &status),
+            Known::Nothing | Known::Unavailable => Reply::busy("state service out of reach", 1),
+        }
+    }
+
+    /// Whether a job can ever run.
+    fn judge(&self, spec: &JobSpec) -> Judgement {
+        let Some(team) = self.settings.params.teams.iter().find(|t| t.name == spec.team) else {
+            return Judgement::Never("unknown team".into());
+        };
+        let over = |need: f64, limit: f64| limit > 0.0 && need > limit;
+        if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
+            return Judgement::Never("a task needs more than the team's limit".into());
+        }
+        self.with(|core| {
+            let Some(catalog) = &core.catalog else { return Judgement::Unknown };
+            let need = Amounts::new(spec.cpus, spec.gpus, spec.memory_gb);
+            let fits = catalog.hulls.iter().any(|t| {
+                spec.types.as_ref().is_none_or(|names| names.contains(&t.name))
+                    && spec.zone.as_ref().is_none_or(|zone| t.zones.contains(zone))
+                    && need.fits(&Amounts::new(t.cpus, t.gpus, t.memory_gb))
+            });
+            if fits { Judgement::Fits } else { Judgement::Never("fits no allowed machine type".into()) }
+        })
+    }
+
+    async fn withdraw(self: &Arc<Self>, id: &str) -> Reply {
+        if !valid_id(id) {
+            return Reply::problem(404, "no such job");
+        }
+        // A conflict means that something else about the job was committed
+        // meanwhile: it is looked at again.
+        for _ in 0..10 {
+            let status = match self.known(id).await {
+                Known::Job(status) => status,
+                Known::Nothing => return Reply::problem(404, "no such job"),
+                Known::Unavailable => return Reply::busy("state service out of reach", 1),
+            };
+            if matches!(status.stage, Stage::Done | Stage::Withdrawn) {
+                return Reply::json(200, &status);
+            }
+            let key = records::job_key(id);
+            let Some((record, version)) =
+                self.with(|core| core.open_job(id).map(|job| (job.record.clone(), job.version)))
+            else {
+                continue;
+            };
+            let record = JobRecord { stage: JobStage::Withdrawn, ..record };
+            let Ok(value) = serde_json::to_value(&record) else {
+                return Reply::busy("not stored", 1);
+            };
+            let unit = Unit {
+                conditions: vec![Condition { key: key.clone(), version }],
+                changes: vec![Change::Set { key, value, lease: None }],
+            };
+            match self.committer.commit(unit.clone()).await {
+                UnitResult::Committed(revision) => {
+                    let status = self.with(|core| {
+                        core.apply_changes(&unit.changes, revision, now());
+                        core.jobs.get(id).map(|job| job.status(id))
+                    });
+                    return match status {
+                        Some(status) => Reply::json(200, &status),
+                        None => Reply::busy("not stored", 1),
+                    };
+                }
+                UnitResult::Conflict(_) => {}
+                UnitResult::Refused(_) | UnitResult::Unknown(_) => return Reply::busy("not stored", 1),
+            }
+        }
+        Reply::busy("the job changes too quickly", 1)
+    }
+}
+
+enum Judgement {
+    Fits,
+    Unknown,
+    Never(String),
+}
+
+async fn limited(limit: Duration, work: impl Future<Output = Reply>) -> Reply {
+    tokio::time::timeout(limit, work).await.unwrap_or_else(|_| Reply::busy("took too long", 1))
+}
--- /dev/null
+++ b/crates/dapplecroft-net/src/tcp.rs
@@ -0,0 +1,71 @@
+//! The real transport: HTTP/1.1 with kept-alive connections.
+
+use crate::{Failure, Request, Response, Transport};
+use async_trait::async_trait;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use std::time::Duration;
+
+/// The largest answer that is read. Watches have no limit of their own, but a
+/// process with little memory has.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
+
+/// HTTP/1.1 over TCP.
+#[derive(Debug, Clone)]
+pub struct TcpTransport {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl TcpTransport {
+    /// A transport with its own pool of connections.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_secs(2)));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_secs(30))
+            .pool_max_idle_per_host(8)
+            .build(connector);
+        TcpTransport { client }
+    }
+}
+
+impl Default for TcpTransport {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+#[async_trait]
+impl Transport for TcpTransport {
+    async fn send(&self, request: Request) -> Result<Response, Failure> {
+        let not_sent = |e: String| Failure::NotSent(e);
+        let mut builder = http::Request::builder()
+            .method(request.method)
+            .uri(format!("http://{}{}", request.address, request.path));
+        if !request.body.is_empty() {
+            builder = builder.header(http::header::CONTENT_TYPE, "application/json");
+        }
+        let built = builder.body(Full::new(request.body)).map_err(|e| not_sent(e.to_string()))?;
+        let exchange = async {
+            let answer = self.client.request(built).await.map_err(|e| {
+                // A connection that never came about never completes later.
+                if e.is_connect() { not_sent(e.to_string()) } else { Failure::Unknown(e.to_string()) }
+            })?;
+            let status = answer.status().as_u16();
+            let body = Limited::new(answer.into_body(), MAX_ANSWER)
+                .collect()
+                .await
+                .map_err(|e| Failure::Unknown(e.to_string()))?
+                .to_bytes();
+            Ok(Response { status, body })
+        };
+        match tokio::time::timeout(request.timeout, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(Failure::Unknown("no answer in time".into())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dapplecroft-sched/src/amounts.rs
@@ -0,0 +1,90 @@
+//! What tasks take and machines have.
+
+use std::iter::Sum;
+use std::ops::{Add, AddAssign, Sub, SubAssign};
+
+/// CPUs, GPUs and memory in thousandths. Whole numbers, so that adding and
+/// taking away the same task always leaves exactly nothing.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Amounts {
+    /// Thousandths of a CPU.
+    pub cpus: i64,
+    /// Thousandths of a GPU.
+    pub gpus: i64,
+    /// Thousandths of a gigabyte.
+    pub memory: i64,
+}
+
+fn thousandths(x: f64) -> i64 {
+    (x * 1000.0).round() as i64
+}
+
+impl Amounts {
+    /// Amounts from decimal numbers.
+    pub fn new(cpus: f64, gpus: f64, memory_gb: f64) -> Self {
+        Amounts { cpus: thousandths(cpus), gpus: thousandths(gpus), memory: thousandths(memory_gb) }
+    }
+
+    /// Whether `self` fits into `room`.
+    pub fn fits(&self, room: &Amounts) -> bool {
+        self.cpus <= room.cpus && self.gpus <= room.gpus && self.memory <= room.memory
+    }
+
+    /// The dominant share: the largest part that `self` takes of any of the
+    /// resources of `whole`.
+    pub fn share_of(&self, whole: &Amounts) -> f64 {
+        let part = |a: i64, b: i64| match (a, b) {
+            (0, _) => 0.0,
+            (_, 0) => f64::INFINITY,
+            (a, b) => a as f64 / b as f64,
+        };
+        part(self.cpus, whole.cpus).max(part(self.gpus, whole.gpus)).max(part(self.memory, whole.memory))
+    }
+
+    /// How many times `self` fits into `room`.
+    pub fn times_in(&self, room: &Amounts) -> i64 {
+        [(self.cpus, room.cpus), (self.gpus, room.gpus), (self.memory, room.memory)]
+            .into_iter()
+            .filter(|(need, _)| *need > 0)
+            .map(|(need, have)| (have / need).max(0))
+            .min()
+            .unwrap_or(0)
+    }
+
+    /// `self` taken `n` times.
+    pub fn times(&self, n: i64) -> Amounts {
+        Amounts { cpus: self.cpus * n, gpus: self.gpus * n, memory: self.memory * n }
+    }
+}
+
+impl Add for Amounts {
+    type Output = Amounts;
+    fn add(self, o: Amounts) -> Amounts {
+        Amounts { cpus: self.cpus + o.cpus, gpus: self.gpus + o.gpus, memory: self.memory + o.memory }
+    }
+}
+
+impl Sub for Amounts {
+    type Output = Amounts;
+    fn sub(self, o: Amounts) -> Amounts {
+        Amounts { cpus: self.cpus - o.cpus, gpus: self.gpus - o.gpus, memory: self.memory - o.memory }
+    }
+}
+
+impl AddAssign for Amounts {
+    fn add_assign(&mut self, o: Amounts) {
+        *self = *self + o;
+    }
+}
+
+impl SubAssign for Amounts {
+    fn sub_assign(&mut self, o: Amounts) {
+        *self = *self - o;
+    }
+}
+
+impl Sum for Amounts {
+    fn sum<I: Iterator<Item = Amounts>>(iter: I) -> Amounts {
+        iter.fold(Amounts::default(), Add::add)
+    }
+}
--- /dev/null
+++ b/crates/dapplecroft-sched/src/lib.rs
@@ -0,0 +1,17 @@
+//! The decisions of dapplecroft, without any input or output: dominant shares,
+//! best fit decreasing, team limits, preemption, repacking and fleet sizing.
+//! Everything is deterministic: the same arguments give the same decision.
+
+mod amounts;
+mod fleet;
+mod place;
+mod preempt;
+mod repack;
+mod teams;
+
+pub use amounts::Amounts;
+pub use fleet::{Demand, Offer, Rental, cheapest_offer, plan_rentals};
+pub use place::{Need, Slot, best_fit};
+pub use preempt::{Claim, Victims, pick_victims};
+pub use repack::{DrainPlan, DrainRules, Move, Resident, plan_drain};
+pub use teams::{TeamBook, Teams};
--- /dev/null
+++ b/crates/dapplecroft-sched/src/repack.rs
@@ -0,0 +1,182 @@
+//! Adaptive repacking: one underfilled machine of young tasks is drained into
+//! fuller ones so that a waiting task, which fits nowhere, can start there.
+
+use crate::{Need, Slot};
+use std::time::Duration;
+
+/// A task on a machine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Resident {
+    /// Index of its slot.
+    pub slot: usize,
+    /// What it needs.
+    pub need: Need,
+    /// How long it has run.
+    pub ran: Duration,
+    /// Whether it may be moved at all.
+    pub movable: bool,
+    /// Whether it is being stopped already.
+    pub leaving: bool,
+    /// Its job's rank; lower numbers go first.
+    pub rank: u8,
+    /// Whether its team runs beyond its guarantee.
+    pub beyond_guarantee: bool,
+}
+
+/// The rules of a drain.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct DrainRules {
+    /// Machines up to this share may be drained.
+    pub trigger: f64,
+    /// No machine is filled beyond this share: min{theta, Umax}.
+    pub cap: f64,
+    /// No task that has run longer is moved.
+    pub oldest: Duration,
+}
+
+/// A task's move.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Move {
+    /// Index into the residents.
+    pub resident: usize,
+    /// Index of the slot that it goes to.
+    pub to: usize,
+}
+
+/// A machine to drain.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DrainPlan {
+    /// Index of the slot that is emptied.
+    pub slot: usize,
+    /// Index of the waiting task that takes it.
+    pub waiting: usize,
+    /// Where its tasks go.
+    pub moves: Vec<Move>,
+}
+
+/// Looks for a machine to drain for the first of the waiting tasks that one can
+/// help. Waiting tasks are given in the order in which they should start; all
+/// of them fit nowhere now.
+pub fn plan_drain(
+    waiting: &[Need],
+    slots: &[Slot],
+    residents: &[Resident],
+    rules: DrainRules,
+) -> Option<DrainPlan> {
+    // The machine whose tasks have run least goes first.
+    let mut victims: Vec<(Duration, usize)> = slots
+        .iter()
+        .enumerate()
+        .filter(|(_, s)| s.open && s.booked != Default::default() && s.share() <= rules.trigger)
+        .filter_map(|(index, _)| {
+            let mut total = Duration::ZERO;
+            for r in residents.iter().filter(|r| r.slot == index) {
+                if !r.movable || r.leaving || r.ran > rules.oldest {
+                    return None;
+                }
+                total += r.ran;
+            }
+            Some((total, index))
+        })
+        .collect();
+    victims.sort();
+    for (position, need) in waiting.iter().enumerate() {
+        for &(_, index) in &victims {
+            let slot = &slots[index];
+            let helps = need.allows(&slot.machine_type, &slot.zone, slot.spot)
+                && need.amounts.fits(&slot.capacity)
+                && !need.fits(slot);
+            if !helps {
+                continue;
+            }
+            if let Some(moves) = pack_elsewhere(index, slots, residents, rules.cap) {
+                return Some(DrainPlan { slot: index, waiting: position, moves });
+            }
+        }
+    }
+    None
+}
+
+/// Moves all tasks of a slot, largest first, each onto the fullest other slot
+/// that takes it within the cap.
+fn pack_elsewhere(from: usize, slots: &[Slot], residents: &[Resident], cap: f64) -> Option<Vec<Move>> {
+    let mut booked: Vec<_> = slots.iter().map(|s| s.booked).collect();
+    let mut tasks: Vec<usize> = (0..residents.len()).filter(|&r| residents[r].slot == from).collect();
+    let size = |r: usize| residents[r].need.amounts.share_of(&slots[from].capacity);
+    tasks.sort_by(|&a, &b| size(b).total_cmp(&size(a)).then(a.cmp(&b)));
+    let mut moves = Vec::new();
+    for r in tasks {
+        let need = &residents[r].need;
+        let mut best: Option<(f64, usize)> = None;
+        for (index, slot) in slots.iter().enumerate() {
+            let allowed = need.allows(&slot.machine_type, &slot.zone, slot.spot);
+            // An empty machine would have taken the waiting task itself.
+            if index == from || !slot.open || !allowed || booked[index] == Default::default() {
+                continue;
+            }
+            let after = booked[index] + need.amounts;
+            let share = after.share_of(&slot.capacity);
+            if !after.fits(&slot.capacity) || share > cap + 1e-9 {
+                continue;
+            }
+            let fullness = booked[index].share_of(&slot.capacity);
+            if best.is_none_or(|(b, _)| fullness > b) {
+                best = Some((fullness, index));
+            }
+        }
+        let (_, to) = best?;
+        booked[to] += need.amounts;
+        moves.push(Move { resident: r, to });
+    }
+    Some(moves)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::place::tests::{need, slot};
+
+    fn resident(slot: usize, cpus: f64, ran: u64) -> Resident {
+        Resident {
+            slot,
+            need: need(cpus),
+            ran: Duration::from_secs(ran),
+            movable: true,
+            leaving: false,
+            rank: 2,
+            beyond_guarantee: false,
+        }
+    }
+
+    const RULES: DrainRules = DrainRules { trigger: 0.5, cap: 1.0, oldest: Duration::from_secs(10) };
+
+    #[test]
+    fn the_youngest_underfilled_machine_is_emptied_into_the_fullest() {
+        let slots = [slot("a", 16.0, 6.0), slot("b", 16.0, 8.0), slot("c", 16.0, 10.0)];
+        let residents =
+            [resident(0, 2.0, 3), resident(0, 4.0, 1), resident(1, 8.0, 9), resident(2, 10.0, 30)];
+        let plan = plan_drain(&[need(16.0)], &slots, &residents, RULES).unwrap();
+        assert_eq!((plan.slot, plan.waiting), (0, 0));
+        // Largest first onto the fullest, both onto "c".
+        assert_eq!(plan.moves, [Move { resident: 1, to: 2 }, Move { resident: 0, to: 2 }]);
+    }
+
+    #[test]
+    fn nothing_is_drained_in_vain() {
+        let slots = [slot("a", 16.0, 6.0), slot("b", 16.0, 12.0)];
+        let young = [resident(0, 6.0, 3), resident(1, 12.0, 3)];
+        // The task would not fit elsewhere.
+        assert_eq!(plan_drain(&[need(16.0)], &slots, &young, RULES), None);
+        let fits = [slot("a", 16.0, 4.0), slot("b", 16.0, 12.0)];
+        let mut small = [resident(0, 4.0, 3), resident(1, 12.0, 3)];
+        assert!(plan_drain(&[need(16.0)], &fits, &small, RULES).is_some());
+        // The cap keeps machines from being filled further than lately.
+        assert_eq!(plan_drain(&[need(16.0)], &fits, &small, DrainRules { cap: 0.9, ..RULES }), None);
+        // Too old, too full, or no help to the waiting task.
+        small[0].ran = Duration::from_secs(11);
+        assert_eq!(plan_drain(&[need(16.0)], &fits, &small, RULES), None);
+        small[0].ran = Duration::from_secs(1);
+        assert_eq!(plan_drain(&[need(16.0)], &fits, &small, DrainRules { trigger: 0.2, ..RULES }), None);
+        assert_eq!(plan_drain(&[need(17.0)], &fits, &small, RULES), None);
+    }
+}
--- /dev/null
+++ b/crates/dapplecroft-sched/src/teams.rs
@@ -0,0 +1,104 @@
+//! Team guarantees and limits.
+
+use crate::Amounts;
+use std::collections::BTreeMap;
+
+/// One team's guarantee, limit and use.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct TeamBook {
+    /// Guaranteed amounts (memory is not counted).
+    pub guarantee: Amounts,
+    /// Limits; 0 means none.
+    pub limit: Amounts,
+    /// What its tasks take now, those not proven gone included.
+    pub used: Amounts,
+}
+
+impl TeamBook {
+    /// Whether a task may start without exceeding the limit.
+    pub fn admits(&self, task: &Amounts) -> bool {
+        let ok = |used: i64, more: i64, limit: i64| limit == 0 || more == 0 || used + more <= limit;
+        ok(self.used.cpus, task.cpus, self.limit.cpus) && ok(self.used.gpus, task.gpus, self.limit.gpus)
+    }
+
+    /// How many tasks of this size the limit still lets start.
+    pub fn headroom(&self, task: &Amounts) -> i64 {
+        let part = |used: i64, more: i64, limit: i64| {
+            if limit == 0 || more == 0 { i64::MAX } else { ((limit - used) / more).max(0) }
+        };
+        part(self.used.cpus, task.cpus, self.limit.cpus).min(part(self.used.gpus, task.gpus, self.limit.gpus))
+    }
+
+    /// Whether `total` lies within the guarantee.
+    pub fn guarantees(&self, total: &Amounts) -> bool {
+        let any = self.guarantee.cpus > 0 || self.guarantee.gpus > 0;
+        any && total.cpus <= self.guarantee.cpus && total.gpus <= self.guarantee.gpus
+    }
+
+    /// Whether the team runs more than its guarantee.
+    pub fn beyond_guarantee(&self) -> bool {
+        self.used.cpus > self.guarantee.cpus || self.used.gpus > self.guarantee.gpus
+    }
+}
+
+/// All teams.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Teams {
+    books: BTreeMap<String, TeamBook>,
+}
+
+impl Teams {
+    /// Teams with nothing used.
+    pub fn new(teams: impl IntoIterator<Item = (String, Amounts, Amounts)>) -> Self {
+        let books = teams
+            .into_iter()
+            .map(|(name, guarantee, limit)| (name, TeamBook { guarantee, limit, used: Amounts::default() }))
+            .collect();
+        Teams { books }
+    }
+
+    /// A team's book.
+    pub fn get(&self, name: &str) -> Option<&TeamBook> {
+        self.books.get(name)
+    }
+
+    /// Counts a task in. A team that the settings no longer name is kept too,
+    /// without a guarantee, so that its running work stays counted.
+    pub fn book(&mut self, name: &str, task: Amounts) {
+        if let Some(book) = self.books.get_mut(name) {
+            book.used += task;
+        } else {
+            self.books.insert(name.to_string(), TeamBook { used: task, ..TeamBook::default() });
+        }
+    }
+
+    /// Counts a task out.
+    pub fn unbook(&mut self, name: &str, task: Amounts) {
+        if let Some(book) = self.books.get_mut(name) {
+            book.used -= task;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn zero_means_no_limit_and_no_guarantee() {
+        let mut teams = Teams::new([
+            ("free".to_string(), Amounts::default(), Amounts::default()),
+            ("tight".to_string(), Amounts::new(4.0, 0.0, 0.0), Amounts::new(8.0, 0.0, 0.0)),
+        ]);
+        let task = Amounts::new(3.0, 0.0, 100.0);
+        teams.book("free", task.times(1000));
+        assert!(teams.get("free").unwrap().admits(&task));
+        assert!(!teams.get("free").unwrap().guarantees(&task));
+        teams.book("tight", task.times(2));
+        let tight = teams.get("tight").unwrap();
+        assert!(!tight.admits(&task) && tight.headroom(&task) == 0);
+        assert!(tight.beyond_guarantee() && tight.guarantees(&task));
+        teams.unbook("tight", task);
+        assert!(teams.get("tight").unwrap().admits(&task));
+    }
+}
--- /dev/null
+++ b/crates/dapplecroft-state/src/committer.rs
@@ -0,0 +1,173 @@
+//! Group commit: units of change that are atomic by themselves are carried in
+//! shared transactions, whose size grows with what has queued up meanwhile.
+
+use crate::{StateClient, Verdicts};
+use dapplecroft_net::Outcome;
+use dapplecroft_wire::state::{Change, Condition, Transaction};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::{Notify, oneshot};
+
+/// The largest transaction that is put together, well under the service's limit.
+const MAX_BYTES: usize = 48 * 1024;
+
+/// A change that is made whole or not at all.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Unit {
+    /// Conditions.
+    pub conditions: Vec<Condition>,
+    /// Changes.
+    pub changes: Vec<Change>,
+}
+
+/// What became of a unit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum UnitResult {
+    /// Made, at this revision.
+    Committed(u64),
+    /// Not made: these keys were not as the conditions said.
+    Conflict(Vec<String>),
+    /// Not made, and never will be.
+    Refused(String),
+    /// Nobody knows; it may yet be made.
+    Unknown(String),
+}
+
+struct Waiting {
+    unit: Unit,
+    bytes: usize,
+    reply: oneshot::Sender<UnitResult>,
+}
+
+/// Collects units and commits them in groups.
+pub struct Committer {
+    queue: Mutex<VecDeque<Waiting>>,
+    wake: Notify,
+    max_changes: usize,
+    bound: usize,
+}
+
+impl Committer {
+    /// A committer for transactions of up to `max_changes`; it refuses units
+    /// once `bound` are waiting.
+    pub fn new(max_changes: usize, bound: usize) -> Self {
+        Committer { queue: Mutex::default(), wake: Notify::new(), max_changes, bound }
+    }
+
+    /// How many units are waiting.
+    pub fn waiting(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Queues a unit and waits for its result.
+    pub async fn commit(&self, unit: Unit) -> UnitResult {
+        let (reply, result) = oneshot::channel();
+        let bytes =
+            serde_json::to_vec(&unit.changes).map_or(MAX_BYTES, |v| v.len()) + 80 * unit.conditions.len();
+        {
+            let mut queue = self.lock();
+            if queue.len() >= self.bound {
+                return UnitResult::Refused("too many changes waiting".into());
+            }
+            queue.push_back(Waiting { unit, bytes, reply });
+        }
+        self.wake.notify_one();
+        result.await.unwrap_or_else(|_| UnitResult::Unknown("committer ended".into()))
+    }
+
+    /// Commits what is queued, for ever.
+    pub async fn run(&self, client: Arc<StateClient>) {
+        loop {
+            let group = self.next_group();
+            if group.is_empty() {
+                self.wake.notified().await;
+                continue;
+            }
+            self.commit_group(&client, group).await;
+        }
+    }
+
+    async fn commit_group(&self, client: &StateClient, group: Vec<Waiting>) {
+        let mut transaction = Transaction::default();
+        let mut seen = HashSet::new();
+        for waiting in &group {
+            for condition in &waiting.unit.conditions {
+                if seen.insert(condition.key.clone()) {
+                    transaction.conditions.push(condition.clone());
+                }
+            }
+            transaction.changes.extend(waiting.unit.changes.iter().cloned());
+        }
+        match client.transact(&transaction, false).await {
+            Outcome::Done(Verdicts::Committed(revision)) => {
+                finish(group, |_| UnitResult::Committed(revision));
+            }
+            Outcome::Done(Verdicts::Conflict(failed)) => {
+                let failed: HashSet<String> = failed.into_iter().collect();
+                let mut rest = Vec::new();
+                for waiting in group {
+                    let own: Vec<String> = waiting
+                        .unit
+                        .conditions
+                        .iter()
+                        .filter(|c| failed.contains(&c.key))
+                        .map(|c| c.key.clone())
+                        .collect();
+                    if own.is_empty() && !failed.is_empty() {
+                        rest.push(waiting);
+                    } else {
+                        let _ = waiting.reply.send(UnitResult::Conflict(own));
+                    }
+                }
+                // Units that only shared the transaction go first next time.
+                let mut queue = self.lock();
+                for waiting in rest.into_iter().rev() {
+                    queue.push_front(waiting);
+                }
+            }
+            Outcome::Refused(e) => finish(group, |_| UnitResult::Refused(e.clone())),
+            Outcome::Unknown(e) => finish(group, |_| UnitResult::Unknown(e.clone())),
+        }
+    }
+
+    fn next_group(&self) -> Vec<Waiting> {
+        let mut queue = self.lock();
+        let mut group: Vec<Waiting> = Vec::new();
+        let (mut changes, mut bytes) = (0, 0);
+        let mut conditions: HashMap<String, u64> = HashMap::new();
+        let mut written: HashSet<String> = HashSet::new();
+        while let Some(next) = queue.front() {
+            let unit = &next.unit;
+            let clash = unit.changes.iter().any(|c| written.contains(c.key()))
+                || unit.conditions.iter().any(|c| {
+                    written.contains(&c.key) || conditions.get(&c.key).is_some_and(|v| *v != c.version)
+                });
+            let fresh = unit.conditions.iter().filter(|c| !conditions.contains_key(&c.key)).count();
+            let full = changes + unit.changes.len() > self.max_changes
+                || conditions.len() + fresh > 4 * self.max_changes
+                || bytes + next.bytes > MAX_BYTES;
+            // A unit that is too large by itself still goes, and is refused there.
+            if !group.is_empty() && (clash || full) {
+                break;
+            }
+            changes += unit.changes.len();
+            bytes += next.bytes;
+            conditions.extend(unit.conditions.iter().map(|c| (c.key.clone(), c.version)));
+            written.extend(unit.changes.iter().map(|c| c.key().to_string()));
+            let Some(next) = queue.pop_front() else { break };
+            group.push(next);
+        }
+        group
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, VecDeque<Waiting>> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn finish(group: Vec<Waiting>, result: impl Fn(&Unit) -> UnitResult) {
+    for waiting in group {
+        let outcome = result(&waiting.unit);
+        let _ = waiting.reply.send(outcome);
+    }
+}
--- /dev/null
+++ b/crates/dapplecroft/src/grpc.rs
@@ -0,0 +1,54 @@
+//! The controllers' gRPC protocol over TCP.
+
+use dapplecroft_controller::{PeerService, Peers};
+use dapplecroft_wire::peer::peer_client::PeerClient;
+use dapplecroft_wire::peer::peer_server::PeerServer;
+use dapplecroft_wire::peer::{ProbeRequest, SightReply, SightRequest};
+use dapplecroft_wire::settings::Peer;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+use tonic::transport::{Channel, Endpoint, Server};
+
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Asks the other controllers; connections are made when first needed.
+#[derive(Default)]
+pub struct GrpcPeers {
+    channels: Mutex<HashMap<SocketAddr, Channel>>,
+}
+
+impl GrpcPeers {
+    fn client(&self, peer: &Peer) -> Option<PeerClient<Channel>> {
+        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(channel) = channels.get(&peer.endpoint) {
+            return Some(PeerClient::new(channel.clone()));
+        }
+        let endpoint = Endpoint::from_shared(format!("http://{}", peer.endpoint)).ok()?;
+        let channel = endpoint.connect_timeout(TIMEOUT).timeout(TIMEOUT).connect_lazy();
+        channels.insert(peer.endpoint, channel.clone());
+        Some(PeerClient::new(channel))
+    }
+}
+
+#[tonic::async_trait]
+impl Peers for GrpcPeers {
+    async fn probe(&self, peer: &Peer, addresses: Vec<String>) -> Option<Vec<String>> {
+        let mut client = self.client(peer)?;
+        let request = client.probe(ProbeRequest { addresses });
+        let reply = tokio::time::timeout(TIMEOUT, request).await.ok()?.ok()?;
+        Some(reply.into_inner().reached)
+    }
+
+    async fn sight(&self, peer: &Peer) -> Option<SightReply> {
+        let mut client = self.client(peer)?;
+        let reply = tokio::time::timeout(TIMEOUT, client.sight(SightRequest {})).await.ok()?.ok()?;
+        Some(reply.into_inner())
+    }
+}
+
+/// Serves the other controllers until the process ends.
+pub async fn serve(service: PeerService, address: SocketAddr) -> Result<(), tonic::transport::Error> {
+    Server::builder().timeout(TIMEOUT * 2).add_service(PeerServer::new(service)).serve(address).await
+}
--- /dev/null
+++ b/crates/dapplecroft/src/main.rs
@@ -0,0 +1,116 @@
+//! The controller program.
+
+mod grpc;
+mod http;
+mod options;
+
+use clap::{Parser, Subcommand};
+use dapplecroft_controller::{Node, Options, Parts, PeerService};
+use dapplecroft_net::TcpTransport;
+use dapplecroft_wire::settings::Settings;
+use rand::RngExt;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::SystemTime;
+use tracing_subscriber::EnvFilter;
+
+/// A cluster scheduler: takes users' jobs, rents machines, and decides what
+/// runs where. All controllers of a deployment run this program.
+#[derive(Debug, Parser)]
+#[command(version, about)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run a controller until it is killed.
+    Run {
+        /// The operators' own settings (protobuf text format); defaults are
+        /// compiled in.
+        #[arg(long, value_name = "FILE")]
+        options: Option<PathBuf>,
+        /// The platform's settings (JSON).
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+    /// Check a file of operators' settings and say what would be in force.
+    Check {
+        /// The file (protobuf text format).
+        file: PathBuf,
+    },
+}
+
+/// Why the program can't start, or ended.
+#[derive(Debug, thiserror::Error)]
+enum Failure {
+    #[error("{0}: {1}")]
+    File(String, std::io::Error),
+    #[error("{0}: {1}")]
+    Settings(String, String),
+    #[error("{0}: {1}")]
+    Options(String, options::OptionsError),
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    #[error("peers' interface: {0}")]
+    Grpc(#[from] tonic::transport::Error),
+    #[error("a part of the controller ended")]
+    Ended,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let filter = EnvFilter::try_from_env("LOG_LEVEL").unwrap_or_else(|_| EnvFilter::new("info"));
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
+    let result = match arguments.command {
+        Command::Run { options, config } => run(options.as_deref(), &config),
+        Command::Check { file } => load_options(&file).map(|options| println!("{options:#?}")),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("dapplecroft: {failure}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<String, Failure> {
+    std::fs::read_to_string(path).map_err(|e| Failure::File(path.display().to_string(), e))
+}
+
+fn load_options(path: &Path) -> Result<Options, Failure> {
+    options::parse(&read(path)?).map_err(|e| Failure::Options(path.display().to_string(), e))
+}
+
+fn run(options: Option<&Path>, config: &Path) -> Result<(), Failure> {
+    let settings =
+        Settings::parse(&read(config)?).map_err(|e| Failure::Settings(config.display().to_string(), e))?;
+    let options = options.map(load_options).transpose()?.unwrap_or_default();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(serve(settings, options))
+}
+
+async fn serve(settings: Settings, options: Options) -> Result<(), Failure> {
+    let mut random = rand::rng();
+    let (listen, back) = (settings.listen, settings.peer_listen);
+    let node = Node::new(Parts {
+        settings: Arc::new(settings),
+        options,
+        identity: format!("{:016x}", random.random::<u64>()),
+        transport: Arc::new(TcpTransport::new()),
+        peers: Arc::new(grpc::GrpcPeers::default()),
+        wall: SystemTime::now,
+        seed: random.random(),
+    });
+    tracing::info!(%listen, %back, "starting");
+    // One process does one thing at a time, and all of it ends together.
+    tokio::select! {
+        result = http::serve(node.clone(), listen) => result?,
+        result = grpc::serve(PeerService(node.clone()), back) => result?,
+        () = node.run() => {}
+    }
+    Err(Failure::Ended)
+}
--- /dev/null
+++ b/crates/dapplecroft/src/options.rs
@@ -0,0 +1,100 @@
+//! Operators' own settings, in protobuf text format.
+
+use dapplecroft_controller::Options;
+use prost_reflect::{DescriptorPool, DynamicMessage, Value};
+use std::time::Duration;
+
+/// Why a file of operators' settings is not accepted.
+#[derive(Debug, thiserror::Error)]
+pub enum OptionsError {
+    /// It is not in protobuf text format, or names an unknown field.
+    #[error("{0}")]
+    Text(String),
+    /// A value lies outside what its field allows.
+    #[error("{field}: must be from {least} to {most}, is {value}")]
+    Range {
+        /// The field.
+        field: &'static str,
+        /// The least value that is allowed.
+        least: f64,
+        /// The greatest value that is allowed.
+        most: f64,
+        /// The value found.
+        value: f64,
+    },
+}
+
+const DESCRIPTORS: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/options.bin"));
+
+/// Reads and checks operators' settings; what is not set keeps its default.
+pub fn parse(text: &str) -> Result<Options, OptionsError> {
+    let bad = |e: &dyn std::fmt::Display| OptionsError::Text(e.to_string());
+    let pool = DescriptorPool::decode(DESCRIPTORS).map_err(|e| bad(&e))?;
+    let descriptor = pool
+        .get_message_by_name("dapplecroft.options.v1.Options")
+        .ok_or_else(|| OptionsError::Text("no description of the settings".into()))?;
+    let message = DynamicMessage::parse_text_format(descriptor, text).map_err(|e| bad(&e))?;
+    let number = |field: &'static str, least: f64, most: f64| match message.get_field_by_name(field) {
+        Some(value) if message.has_field_by_name(field) => {
+            let value = match *value {
+                Value::F64(x) => x,
+                Value::U32(x) => f64::from(x),
+                _ => f64::NAN,
+            };
+            if (least..=most).contains(&value) {
+                Ok(Some(value))
+            } else {
+                Err(OptionsError::Range { field, least, most, value })
+            }
+        }
+        _ => Ok(None),
+    };
+    let seconds = |field, least, most| Ok(number(field, least, most)?.map(Duration::from_secs_f64));
+    let mut options = Options::default();
+    let set = |target: &mut Duration, value: Option<Duration>| {
+        if let Some(value) = value {
+            *target = value;
+        }
+    };
+    set(&mut options.node_lease, seconds("node_lease_s", 1.0, 60.0)?);
+    set(&mut options.block_lease, seconds("block_lease_s", 2.0, 600.0)?);
+    set(&mut options.drain_every, seconds("drain_every_s", 1.0, 3600.0)?);
+    set(&mut options.drain_window, seconds("drain_window_s", 1.0, 3600.0)?);
+    set(&mut options.preempt_limit, seconds("preempt_limit_s", 0.0, 86400.0)?);
+    options.idle_return = seconds("idle_return_s", 1.0, 86400.0)?.or(options.idle_return);
+    options.drain_trigger = number("drain_trigger", 0.0, 1.0)?.unwrap_or(options.drain_trigger);
+    options.spare = number("spare", 0.0, 10.0)?.unwrap_or(options.spare);
+    if let Some(most) = number("max_requests", 1.0, 10000.0)? {
+        options.max_requests = most as usize;
+    }
+    if message.has_field_by_name("preempt")
+        && let Some(Value::Bool(preempt)) = message.get_field_by_name("preempt").as_deref()
+    {
+        options.preempt = *preempt;
+    }
+    Ok(options)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_set_is_taken_and_the_rest_keeps_its_default() {
+        let options = parse("# a note\ndrain_trigger: 0.25 preempt: false\nidle_return_s: 30").unwrap();
+        assert_eq!(options.drain_trigger, 0.25);
+        assert!(!options.preempt);
+        assert_eq!(options.idle_return, Some(Duration::from_secs(30)));
+        assert_eq!(options.node_lease, Options::default().node_lease);
+    }
+
+    #[test]
+    fn bad_settings_are_refused_by_name() {
+        assert_eq!(
+            parse("drain_trigger: 1.5").unwrap_err().to_string(),
+            "drain_trigger: must be from 0 to 1, is 1.5"
+        );
+        assert!(parse("drain_triger: 1").unwrap_err().to_string().contains("drain_triger"));
+        assert!(parse("node_lease_s: nan").is_err());
+    }
+}
