Assume thrift unless an operator says otherwise; price and useful work are not in the settings

Cause: idle machines were kept for ten minutes, since no aim for price was to be seen in the settings.

--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -106,11 +106,7 @@
     /// Decides each machine's fate, and which are to be probed or released.
     fn judge_machines(&mut self, actions: &mut FleetActions, now: Instant) {
         let report = self.settings.report_every();
-        let idle = self.options.idle_return.unwrap_or(if self.settings.wants_thrift() {
-            Duration::from_secs(60)
-        } else {
-            Duration::from_secs(600)
-        });
+        let idle = self.options.idle_return;
         let boots: BTreeMap<String, Duration> = self
             .machines
             .values()
@@ -228,7 +224,7 @@
         if self.unplaced.is_empty() || self.fleet.renting.len() >= MAX_RENTING {
             return;
         }
-        let thrift = self.settings.wants_thrift();
+        let thrift = self.options.thrift;
         let offers = self.offers(now);
         let plan = plan_rentals(&self.unplaced, self.booting(), &offers, thrift, MAX_RENT);
         for rental in plan.into_iter().take(MAX_RENTING - self.fleet.renting.len()) {
--- a/crates/dapplecroft-controller/src/options.rs
+++ b/crates/dapplecroft-controller/src/options.rs
@@ -19,9 +19,11 @@
     pub preempt: bool,
     /// Work that has run longer is not displaced.
     pub preempt_limit: Duration,
-    /// How long a machine stays idle before it is returned; unset: short where
-    /// an aim asks for thrift, long elsewhere.
-    pub idle_return: Option<Duration>,
+    /// How long a machine stays idle before it is returned.
+    pub idle_return: Duration,
+    /// Whether to rent the cheapest machines that do, or those that are up
+    /// soonest. The platform's settings do not say which the users want.
+    pub thrift: bool,
     /// Spare room kept for urgent work, as a part of what its recent tasks took.
     pub spare: f64,
     /// Users' requests worked on at a time; more get 503.
@@ -38,7 +40,8 @@
             drain_window: Duration::from_secs(10),
             preempt: true,
             preempt_limit: Duration::from_secs(60),
-            idle_return: None,
+            idle_return: Duration::from_secs(60),
+            thrift: true,
             spare: 1.0,
             max_requests: 256,
         }
--- a/crates/dapplecroft-wire/src/settings.rs
+++ b/crates/dapplecroft-wire/src/settings.rs
@@ -207,11 +207,6 @@
         Duration::from_secs_f64(self.params.workers.report_s)
     }
 
-    /// Whether the users ask for thrift at all.
-    pub fn wants_thrift(&self) -> bool {
-        self.params.objectives.iter().any(|o| o.kind == "price" || o.kind == "useful")
-    }
-
     /// The strictest time within which tasks of `class` should start.
     pub fn start_within(&self, class: &str) -> Option<f64> {
         self.params
