--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -259,9 +259,10 @@
             for task in &machine.tasks {
                 let Some(job) = self.open_job(&task.job) else { continue };
                 let Some(placed) = job.placed.get(&task.index) else { continue };
-                let ran = placed.running.map_or(Duration::ZERO, |r| now.saturating_duration_since(r));
+                // Time spent on fetching an image is lost with the task too.
+                let ran = now.saturating_duration_since(placed.since);
                 let ended = job.exits.contains_key(&task.index);
-                let young = now.saturating_duration_since(placed.since) <= oldest;
+                let young = ran <= oldest;
                 residents.push((
                     task.clone(),
                     Resident {
@@ -324,7 +325,7 @@
                     resident.leaving = true;
                     future[found.slot].booked -= resident.need.amounts;
                     left = left.saturating_sub(1);
-                    tracing::info!(task = %task, for_job = %id, ran = ?resident.ran, "a task gives way");
+                    tracing::info!(task = %task, for_job = %id, ?claim, ran = ?resident.ran, "a task gives way");
                     let task = task.clone();
                     self.stop(&task, Stop::Preempted);
                 }
