--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -5,6 +5,7 @@
 use crate::jobs::{OpenJob, Placed, Stop, TaskId};
 use crate::machines::{Fate, Machine};
 use dapplecroft_sched::{Amounts, Claim, Demand, Need, Resident, Slot, best_fit, pick_victims};
+use dapplecroft_wire::users::Rank;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -307,7 +308,10 @@
         for (id, demand) in unplaced {
             let Some(job) = self.open_job(id) else { continue };
             let within = guaranteed.get(id).copied().unwrap_or(false);
-            let claim = Claim { rank: job.rank(), within_guarantee: within };
+            // Among ordinary work a guarantee is served first, but stops nothing:
+            // work that is stopped for it waits in its turn, and so on.
+            let urgent = job.spec.priority < Rank::Normal;
+            let claim = Claim { rank: job.rank(), within_guarantee: within && urgent };
             let need: Need = demand.need.clone();
             for _ in 0..demand.count {
                 if left == 0 {
