--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -18,6 +18,9 @@
 const REFUSED_PAUSE: Duration = Duration::from_secs(5);
 const LONGEST_PAUSE: Duration = Duration::from_secs(30);
 
+/// What is paid for a machine at least.
+const MIN_PAID: Duration = Duration::from_secs(60);
+
 type Kind = (String, String, bool);
 
 /// What the leader remembers of the cloud.
@@ -106,7 +109,6 @@
     /// Decides each machine's fate, and which are to be probed or released.
     fn judge_machines(&mut self, actions: &mut FleetActions, now: Instant) {
         let report = self.settings.report_every();
-        let idle = self.options.idle_return;
         let boots: BTreeMap<String, Duration> = self
             .machines
             .values()
@@ -141,7 +143,11 @@
                 }
             }
             if machine.fate == Fate::Keep {
-                let unused = machine.idle_since.is_some_and(|at| now.saturating_duration_since(at) > idle);
+                // Renting it again would cost its boot time, so it is kept about
+                // as long; and a machine is paid for a minute in any case.
+                let boot = boots.get(&machine.machine_type).copied().unwrap_or(report);
+                let keep = self.options.idle_return.unwrap_or(boot).max(MIN_PAID.saturating_sub(age));
+                let unused = machine.idle_since.is_some_and(|at| now.saturating_duration_since(at) > keep);
                 if machine.failed_jobs.len() >= 2 {
                     tracing::info!(machine = machine.id, "tasks of several jobs failed: quarantined");
                     machine.fate = Fate::Returning;
--- a/crates/dapplecroft-controller/src/options.rs
+++ b/crates/dapplecroft-controller/src/options.rs
@@ -19,8 +19,9 @@
     pub preempt: bool,
     /// Work that has run longer is not displaced.
     pub preempt_limit: Duration,
-    /// How long a machine stays idle before it is returned.
-    pub idle_return: Duration,
+    /// How long a machine stays idle before it is returned; unset: as long as
+    /// one of its type takes to boot.
+    pub idle_return: Option<Duration>,
     /// Whether to rent the cheapest machines that do, or those that are up
     /// soonest. The platform's settings do not say which the users want.
     pub thrift: bool,
@@ -40,7 +41,7 @@
             drain_window: Duration::from_secs(10),
             preempt: true,
             preempt_limit: Duration::from_secs(60),
-            idle_return: Duration::from_secs(60),
+            idle_return: None,
             thrift: true,
             spare: 1.0,
             max_requests: 256,
--- a/crates/dapplecroft-controller/tests/stories/late.rs
+++ b/crates/dapplecroft-controller/tests/stories/late.rs
@@ -171,7 +171,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_list_older_than_the_last_brings_no_machine_back_and_takes_none() {
-    let options = Options { idle_return: Duration::from_secs(5), ..Options::default() };
+    let options = Options { idle_return: Some(Duration::from_secs(5)), ..Options::default() };
     let c = Cluster::with(
         3,
         |t| {
--- a/crates/dapplecroft/src/options.rs
+++ b/crates/dapplecroft/src/options.rs
@@ -61,7 +61,7 @@
     set(&mut options.drain_every, seconds("drain_every_s", 1.0, 3600.0)?);
     set(&mut options.drain_window, seconds("drain_window_s", 1.0, 3600.0)?);
     set(&mut options.preempt_limit, seconds("preempt_limit_s", 0.0, 86400.0)?);
-    set(&mut options.idle_return, seconds("idle_return_s", 1.0, 86400.0)?);
+    options.idle_return = seconds("idle_return_s", 1.0, 86400.0)?;
     options.drain_trigger = number("drain_trigger", 0.0, 1.0)?.unwrap_or(options.drain_trigger);
     options.spare = number("spare", 0.0, 10.0)?.unwrap_or(options.spare);
     if let Some(most) = number("max_requests", 1.0, 10000.0)? {
@@ -85,7 +85,7 @@
         let options = parse("# a note\ndrain_trigger: 0.25 preempt: false\nidle_return_s: 30").unwrap();
         assert_eq!(options.drain_trigger, 0.25);
         assert!(!options.preempt);
-        assert_eq!(options.idle_return, Duration::from_secs(30));
+        assert_eq!(options.idle_return, Some(Duration::from_secs(30)));
         assert_eq!(options.node_lease, Options::default().node_lease);
     }
 
