--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -94,6 +94,27 @@
         Duration::from_secs_f64(hull.map_or(60.0, |h| h.boot_s.clamp(1.0, 3600.0)))
     }
 
+    /// How long idle machines are kept by type and kind: two boot times for what
+    /// is cheapest per CPU, and proportionally less for what costs more.
+    fn idle_times(&self) -> BTreeMap<(String, bool), Duration> {
+        let Some(catalog) = &self.catalog else { return BTreeMap::new() };
+        let rates: Vec<((String, bool), f64, f64)> = catalog
+            .hulls
+            .iter()
+            .flat_map(|t| [(t, false, t.price), (t, true, t.spot_price)])
+            .filter(|(t, _, price)| t.cpus > 0.0 && *price > 0.0)
+            .map(|(t, spot, price)| ((t.name.clone(), spot), price / t.cpus, t.boot_s))
+            .collect();
+        let lowest = rates.iter().map(|(_, rate, _)| *rate).fold(f64::INFINITY, f64::min);
+        rates
+            .into_iter()
+            .map(|(kind, rate, boot_s)| {
+                let seconds = (boot_s * 2.0 * lowest / rate).clamp(1.0, 3600.0);
+                (kind, Duration::from_secs_f64(seconds))
+            })
+            .collect()
+    }
+
     /// Compares the wanted fleet with the known one.
     pub fn fleet_step(&mut self, now: Instant) -> FleetActions {
         let mut actions = FleetActions::default();
@@ -114,6 +135,7 @@
             .values()
             .map(|m| (m.machine_type.clone(), self.boot_time(&m.machine_type)))
             .collect();
+        let idle = self.idle_times();
         for machine in self.machines.values_mut() {
             if machine.tasks.is_empty() && machine.idle_since.is_none() {
                 machine.idle_since = Some(now);
@@ -143,10 +165,12 @@
                 }
             }
             if machine.fate == Fate::Keep {
-                // Renting it again would cost its boot time, so it is kept about
-                // as long; and a machine is paid for a minute in any case.
-                let boot = boots.get(&machine.machine_type).copied().unwrap_or(report);
-                let keep = self.options.idle_return.unwrap_or(boot).max(MIN_PAID.saturating_sub(age));
+                // Renting it again would cost its boot time, so it is kept a
+                // while, the dearer the shorter; and a machine is paid for a
+                // minute in any case.
+                let kind = (machine.machine_type.clone(), machine.spot);
+                let usual = idle.get(&kind).copied().unwrap_or(report);
+                let keep = self.options.idle_return.unwrap_or(usual).max(MIN_PAID.saturating_sub(age));
                 let unused = machine.idle_since.is_some_and(|at| now.saturating_duration_since(at) > keep);
                 if machine.failed_jobs.len() >= 2 {
                     tracing::info!(machine = machine.id, "tasks of several jobs failed: quarantined");
--- a/crates/dapplecroft-controller/src/options.rs
+++ b/crates/dapplecroft-controller/src/options.rs
@@ -19,8 +19,8 @@
     pub preempt: bool,
     /// Work that has run longer is not displaced.
     pub preempt_limit: Duration,
-    /// How long a machine stays idle before it is returned; unset: as long as
-    /// one of its type takes to boot.
+    /// How long a machine stays idle before it is returned; unset: by
+    /// its boot time and price.
     pub idle_return: Option<Duration>,
     /// Whether to rent the cheapest machines that do, or those that are up
     /// soonest. The platform's settings do not say which the users want.
