Notice silent machines after about two missed reports, and shared outages as shared

Cause: after a wave, tasks waited 11 s for their machines to be given up, and new ones were placed on machines that were gone. One node took itself out of service in an outage that all shared, by a hair's difference in timing. A new leader takes the block as soon as it has caught up.

--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -150,7 +150,7 @@
                 }
             } else {
                 let eager = machine.heard.is_none() && machine.missed_probes == 0;
-                let ask = eager || silence > report.mul_f64(1.8);
+                let ask = eager || silence > report.mul_f64(1.4);
                 if let Some(address) = &machine.address
                     && ask
                     && !machine.probing
@@ -159,7 +159,7 @@
                     machine.probing = true;
                     actions.probe.push((machine.id.clone(), address.clone()));
                 }
-                if silence > report * 3 && machine.missed_probes >= 2 && machine.fate != Fate::Lost {
+                if silence > report.mul_f64(2.2) && machine.missed_probes >= 2 && machine.fate != Fate::Lost {
                     let address = machine.address.clone().unwrap_or_default();
                     actions.silent.push((machine.id.clone(), address));
                 }
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -178,6 +178,10 @@
     pub fn caught_up(&mut self, revision: u64) {
         self.followed = self.followed.max(revision);
         let followed = self.followed;
+        if self.role.holding.is_none() && self.role.leadership.is_some_and(|l| l <= followed) {
+            // A new leader knows all that was committed before it: it can go on.
+            self.wakes.role = true;
+        }
         self.dropped.retain(|_, at| *at > followed);
         while let Some(&(sent, at)) = self.role.pending.front() {
             if at > followed {
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -25,7 +25,7 @@
     /// the present token, and is heard, are open.
     pub(super) fn slots(&self, now: Instant) -> Vec<Slot> {
         let Some(holding) = self.role.holding else { return Vec::new() };
-        let silence = self.settings.report_every().mul_f64(2.5);
+        let silence = self.settings.report_every().mul_f64(1.5);
         self.machines
             .values()
             .filter_map(|m| {
--- a/crates/dapplecroft-controller/src/loops/election.rs
+++ b/crates/dapplecroft-controller/src/loops/election.rs
@@ -234,12 +234,15 @@
         loop {
             sleep(Duration::from_secs(1)).await;
             let age = lock(&self.touched).map(|at| now().saturating_duration_since(at));
-            let lost = self.with(|core| core.loaded) && age.is_none_or(|a| a > self.options.node_lease);
+            let lost =
+                self.with(|core| core.loaded) && age.is_none_or(|a| a > self.options.node_lease.mul_f64(1.5));
             let mut alone = false;
             if lost {
                 for peer in &self.settings.peers {
                     if let Some(sight) = self.peers.sight(peer).await {
-                        let fresh = u128::from(sight.state_age_ms) < self.options.node_lease.as_millis();
+                        // Far fresher than this node's: nodes notice an outage
+                        // that they share at slightly different times.
+                        let fresh = u128::from(sight.state_age_ms) < self.options.node_lease.as_millis() / 2;
                         alone |= sight.ready && fresh;
                     }
                 }
--- a/crates/dapplecroft-controller/src/loops/follow.rs
+++ b/crates/dapplecroft-controller/src/loops/follow.rs
@@ -45,7 +45,7 @@
         let params = &self.settings.params;
         let share = params.state.rps / f64::from(params.nodes) * 0.3;
         let usual = Duration::from_secs_f64(1.0 / share.max(1.0));
-        if self.with(|core| core.is_holder()) { usual / 2 } else { usual * 2 }
+        if self.with(|core| core.role.leadership.is_some()) { usual / 2 } else { usual * 2 }
     }
 
     async fn read_all(&self) -> bool {
