Serve pressing jobs before those with time to spare, and missed ones last

Cause: within a rank the largest tasks always went first, so short jobs of small tasks missed their time behind long ones that had plenty. Best fit stays decreasing among equally pressing jobs.

--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -16,9 +16,31 @@
 /// Most displacements of one round.
 const MAX_DISPLACED: usize = 20;
 
-/// In which order jobs are served: rank, then work within a guarantee, then the
-/// larger tasks, then what is due first.
-type Order = (u8, bool, Reverse<i64>, u64, u64);
+/// In which order jobs are served: rank, then work within a guarantee, then how
+/// pressing it is, then the larger tasks, then what is due first.
+type Order = (u8, bool, Pressing, Reverse<i64>, u64, u64);
+
+/// How pressing a job is. Best fit is decreasing within each of these.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Pressing {
+    /// It must start soon to be in time.
+    Now,
+    /// There is time.
+    Later,
+    /// It is too late already: others can still be in time.
+    Missed,
+}
+
+fn pressing(left: f64, estimate: f64) -> Pressing {
+    let slack = left - estimate;
+    if slack < -0.25 * estimate {
+        Pressing::Missed
+    } else if slack < (0.5 * estimate).max(15.0) {
+        Pressing::Now
+    } else {
+        Pressing::Later
+    }
+}
 
 impl Core {
     /// Machines as placement sees them. Only those whose worker has accepted
@@ -85,8 +107,15 @@
         result
     }
 
+    /// When a job should be complete, in seconds since 1970.
+    fn due(&self, job: &OpenJob) -> f64 {
+        let within = [job.spec.deadline_s, self.settings.finished_within(&job.spec.class)];
+        let within = within.into_iter().flatten().min_by(f64::total_cmp);
+        job.record.at + within.unwrap_or(job.spec.estimate_s * 4.0)
+    }
+
     /// Waiting jobs in the order in which they are served.
-    fn serving_order(&self, now: Instant) -> Vec<(Order, Arc<str>)> {
+    fn serving_order(&self, wall: f64, now: Instant) -> Vec<(Order, Arc<str>)> {
         let guaranteed = self.guaranteed();
         let mut order: Vec<(Order, Arc<str>)> = self
             .waiting
@@ -97,10 +126,11 @@
                     return None;
                 }
                 let within = guaranteed.get(id).copied().unwrap_or(false);
-                let due = job.record.at + job.spec.deadline_s.unwrap_or(job.spec.estimate_s * 4.0);
+                let due = self.due(job);
                 let key = (
                     job.rank(),
                     !within,
+                    pressing(due - wall, job.spec.estimate_s),
                     Reverse(job.need.amounts.cpus),
                     (due.max(0.0) * 1000.0) as u64,
                     (job.record.at.max(0.0) * 1000.0) as u64,
@@ -113,12 +143,13 @@
     }
 
     /// One round. Proposals become commands only once they are committed.
-    pub fn place(&mut self, now: Instant) {
+    /// `wall` is the time of day in seconds since 1970.
+    pub fn place(&mut self, wall: f64, now: Instant) {
         if self.holding(now).is_none() || self.catalog.is_none() {
             return;
         }
         let mut slots = self.slots(now);
-        let order = self.serving_order(now);
+        let order = self.serving_order(wall, now);
         let mut left = MAX_PER_ROUND;
         self.unplaced.clear();
         let mut unplaced = Vec::new();
--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -26,8 +26,9 @@
         loop {
             let _ = timeout(TICK, self.wake_place.notified()).await;
             let began = now();
+            let wall = self.wall_seconds();
             let unit = self.with(|core| {
-                core.place(now());
+                core.place(wall, now());
                 core.drain_step(now())
             });
             if let Some(unit) = unit {
--- a/crates/dapplecroft-controller/src/node.rs
+++ b/crates/dapplecroft-controller/src/node.rs
@@ -195,6 +195,11 @@
         }
     }
 
+    /// The time of day in seconds since 1970. Nothing that must hold rests on it.
+    pub(crate) fn wall_seconds(&self) -> f64 {
+        (self.wall)().duration_since(SystemTime::UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64())
+    }
+
     /// Starts a piece of work that ends with the process.
     pub(crate) fn spawn(&self, work: impl Future<Output = ()> + Send + 'static) {
         let mut tasks = lock(&self.tasks);
--- a/crates/dapplecroft-controller/src/users.rs
+++ b/crates/dapplecroft-controller/src/users.rs
@@ -12,7 +12,7 @@
 use http::Method;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 use tokio::sync::oneshot;
 
 /// Users wait 5 s for a submission and 2 s for a poll; after that an answer is
@@ -131,7 +131,7 @@
         }
         let key = records::job_key(&id);
         let chunk = (self.settings.params.state.value_kb * 1024.0 / 96.0) as u32;
-        let at = (self.wall)().duration_since(SystemTime::UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
+        let at = self.wall_seconds();
         let record = JobRecord {
             stage: JobStage::Open,
             tasks: spec.tasks,
