--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -178,7 +178,7 @@
                     .proposals
                     .iter()
                     .map(|(_, p)| p.machine.clone())
-                    .filter(|m| self.gone.contains(m))
+                    .filter(|m| self.gone.contains_key(m))
                     .collect();
                 for id in lost {
                     self.machine_gone(&id, now);
--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -18,6 +18,10 @@
 const REFUSED_PAUSE: Duration = Duration::from_secs(5);
 const LONGEST_PAUSE: Duration = Duration::from_secs(30);
 
+/// How long released machines are remembered, so that late messages and lists
+/// don't bring them back; far longer than either can be late.
+const REMEMBER_GONE: Duration = Duration::from_secs(3600);
+
 /// What is paid for a machine at least.
 const MIN_PAID: Duration = Duration::from_secs(60);
 
@@ -121,6 +125,7 @@
         if self.holding(now).is_none() {
             return actions;
         }
+        self.gone.retain(|_, at| now.saturating_duration_since(*at) < REMEMBER_GONE);
         self.judge_machines(&mut actions, now);
         self.rentals(&mut actions, now);
         actions.records = self.machine_records();
@@ -304,7 +309,7 @@
         if self.role.holding.is_none() {
             return;
         }
-        for id in machines.iter().filter(|id| !self.gone.contains(*id)) {
+        for id in machines.iter().filter(|id| !self.gone.contains_key(*id)) {
             self.machines
                 .entry(id.clone())
                 .or_insert_with(|| Machine::new(id, &request.machine_type, &request.zone, request.spot, now));
@@ -326,7 +331,7 @@
         // Before that, a list may still show what an earlier leader released.
         let settled = self.fleet.began.is_some_and(|at| now.saturating_duration_since(at) > lag * 2);
         for listed in list {
-            if self.gone.contains(&listed.id) {
+            if self.gone.contains_key(&listed.id) {
                 continue;
             }
             match self.machines.get_mut(&listed.id) {
@@ -377,7 +382,7 @@
         let mut forgotten = Vec::new();
         for machine in self.machines.values_mut().filter(|m| !m.recording) {
             let key = records::machine_key(&machine.id);
-            let gone = self.gone.contains(&machine.id);
+            let gone = self.gone.contains_key(&machine.id);
             let change = if gone && machine.recorded.is_some() {
                 Change::Drop { key }
             } else if gone {
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -107,8 +107,8 @@
     pub role: Role,
     /// Tasks seen on machines where no record has them.
     pub ghosts: HashMap<TaskId, String>,
-    /// Machines whose release was answered.
-    pub gone: HashSet<String>,
+    /// Machines whose release was answered, and when.
+    pub gone: HashMap<String, Instant>,
     /// Tasks that found no place in the last round.
     pub unplaced: Vec<Demand>,
     /// Loops to wake.
@@ -144,7 +144,7 @@
             drain: None,
             role: Role::default(),
             ghosts: HashMap::new(),
-            gone: HashSet::new(),
+            gone: HashMap::new(),
             unplaced: Vec::new(),
             wakes: Wakes::default(),
             fleet: fleet::FleetState::default(),
@@ -279,8 +279,9 @@
                 self.wakes.role = true;
             }
             Some(Key::Catalog) => {
+                // A leader has it from the cloud, with the present prices.
                 if let Some(catalog) = read::<Catalog>(key, value)
-                    && self.catalog.is_none()
+                    && (self.role.leadership.is_none() || self.catalog.is_none())
                 {
                     self.catalog = Some(catalog);
                 }
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -258,6 +258,8 @@
         let Some(session) = self.machines.get(machine).map(|m| m.session) else { return };
         let Some(job) = self.open_job_mut(&task.job) else { return };
         let attempt = job.next_attempt(task.index);
+        let waited = now.saturating_duration_since(job.learned);
+        tracing::debug!(%task, class = job.spec.class, machine, attempt, ?waited, "placing");
         job.take(task.index);
         job.placed.insert(
             task.index,
--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -33,7 +33,7 @@
                 None => HelloAnswer::Unavailable,
             };
         };
-        if self.gone.contains(&report.machine) {
+        if self.gone.contains_key(&report.machine) {
             // Its release was answered, so this is a late copy of a message.
             return HelloAnswer::Unavailable;
         }
@@ -57,7 +57,7 @@
     /// Takes over a report, however it came. Late copies are ignored.
     pub fn take_report(&mut self, report: &Report, now: Instant) {
         let Some(holding) = self.role.holding else { return };
-        if self.gone.contains(&report.machine) {
+        if self.gone.contains_key(&report.machine) {
             return;
         }
         let known = self.machines.contains_key(&report.machine);
@@ -102,12 +102,11 @@
             }
         }
         machine.reported = tasks;
-        let was_synced_before = !first;
         let synced = machine.synced(holding.epoch);
         if first || synced {
             self.wakes.place = true;
         }
-        if first && !was_synced_before {
+        if first {
             self.wakes.fleet = true;
         }
         self.take_proof(&report.machine, synced, now);
@@ -145,6 +144,10 @@
                     ends.push((task.clone(), placed.attempt, Some(why)));
                 }
                 Some(report) if report.state == TaskState::Running => {
+                    if placed.running.is_none() {
+                        let fetched = now.saturating_duration_since(placed.since);
+                        tracing::debug!(%task, class = job.spec.class, machine = id, ?fetched, "running");
+                    }
                     placed.running.get_or_insert(now);
                 }
                 Some(_) => {}
@@ -231,7 +234,7 @@
 
     /// Ends everything on a machine whose release was answered: it is gone.
     pub fn machine_gone(&mut self, id: &str, now: Instant) {
-        self.gone.insert(id.to_string());
+        self.gone.entry(id.to_string()).or_insert(now);
         self.ghosts.retain(|_, on| on != id);
         let Some(machine) = self.machines.get(id) else { return };
         for task in machine.tasks.clone() {
--- a/crates/dapplecroft-controller/src/options.rs
+++ b/crates/dapplecroft-controller/src/options.rs
@@ -25,8 +25,6 @@
     /// Whether to rent the cheapest machines that do, or those that are up
     /// soonest. The platform's settings do not say which the users want.
     pub thrift: bool,
-    /// Spare room kept for urgent work, as a part of what its recent tasks took.
-    pub spare: f64,
     /// Users' requests worked on at a time; more get 503.
     pub max_requests: usize,
 }
@@ -43,7 +41,6 @@
             preempt_limit: Duration::from_secs(60),
             idle_return: None,
             thrift: true,
-            spare: 1.0,
             max_requests: 256,
         }
     }
--- a/crates/dapplecroft-sched/src/preempt.rs
+++ b/crates/dapplecroft-sched/src/preempt.rs
@@ -86,23 +86,16 @@
 mod tests {
     use super::*;
     use crate::place::tests::{need, slot};
+    use crate::repack::tests::resident;
 
-    fn resident(slot: usize, cpus: f64, rank: u8, ran: u64) -> Resident {
-        Resident {
-            slot,
-            need: need(cpus),
-            ran: Duration::from_secs(ran),
-            movable: true,
-            leaving: false,
-            rank,
-            beyond_guarantee: false,
-        }
+    fn ranked(slot: usize, cpus: f64, rank: u8, ran: u64) -> Resident {
+        Resident { rank, ..resident(slot, cpus, ran) }
     }
 
     #[test]
     fn only_lower_ranks_give_way_and_the_least_work_is_lost() {
         let slots = [slot("a", 16.0, 16.0), slot("b", 16.0, 16.0)];
-        let residents = [resident(0, 16.0, 2, 50), resident(1, 8.0, 2, 10), resident(1, 8.0, 2, 5)];
+        let residents = [ranked(0, 16.0, 2, 50), ranked(1, 8.0, 2, 10), ranked(1, 8.0, 2, 5)];
         let claim = Claim { rank: 1, within_guarantee: false };
         let hour = Duration::from_secs(3600);
         let found = pick_victims(&slots, &residents, &need(4.0), claim, |_| true, hour).unwrap();
@@ -114,7 +107,7 @@
     #[test]
     fn a_guarantee_displaces_what_another_team_borrowed() {
         let slots = [slot("a", 16.0, 16.0)];
-        let mut borrowed = resident(0, 16.0, 0, 50);
+        let mut borrowed = ranked(0, 16.0, 0, 50);
         let claim = Claim { rank: 3, within_guarantee: true };
         let hour = Duration::from_secs(3600);
         let find =
--- a/crates/dapplecroft-sched/src/repack.rs
+++ b/crates/dapplecroft-sched/src/repack.rs
@@ -132,11 +132,11 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(crate) mod tests {
     use super::*;
     use crate::place::tests::{need, slot};
 
-    fn resident(slot: usize, cpus: f64, ran: u64) -> Resident {
+    pub(crate) fn resident(slot: usize, cpus: f64, ran: u64) -> Resident {
         Resident {
             slot,
             need: need(cpus),
--- a/crates/dapplecroft/src/options.rs
+++ b/crates/dapplecroft/src/options.rs
@@ -63,7 +63,6 @@
     set(&mut options.preempt_limit, seconds("preempt_limit_s", 0.0, 86400.0)?);
     options.idle_return = seconds("idle_return_s", 1.0, 86400.0)?;
     options.drain_trigger = number("drain_trigger", 0.0, 1.0)?.unwrap_or(options.drain_trigger);
-    options.spare = number("spare", 0.0, 10.0)?.unwrap_or(options.spare);
     if let Some(most) = number("max_requests", 1.0, 10000.0)? {
         options.max_requests = most as usize;
     }
