--- a/crates/dapplecroft-controller/src/loops/election.rs
+++ b/crates/dapplecroft-controller/src/loops/election.rs
@@ -227,29 +227,42 @@
         self.state.set_rates(params.state.rps * part, (params.state.write_rps * part).max(2.0));
     }
 
-    /// Watches whether this node alone has lost the state service: then users
-    /// are better served elsewhere. In an outage that all share it stays
-    /// healthy, since being taken out and back in costs users more.
+    /// Watches whether this node has lost the state service, and whether it is
+    /// alone in that: then a peer answers its users.
     pub(crate) async fn health_loop(self: Arc<Self>) {
+        let beat = self.options.node_lease / 4;
         loop {
-            sleep(Duration::from_secs(1)).await;
-            let age = lock(&self.touched).map(|at| now().saturating_duration_since(at));
-            let lost =
-                self.with(|core| core.loaded) && age.is_none_or(|a| a > self.options.node_lease.mul_f64(1.5));
-            let mut alone = false;
-            if lost {
-                for peer in &self.settings.peers {
-                    if let Some(sight) = self.peers.sight(peer).await {
-                        // Far fresher than this node's: nodes notice an outage
-                        // that they share at slightly different times.
-                        let fresh = u128::from(sight.state_age_ms) < self.options.node_lease.as_millis() / 2;
-                        alone |= sight.ready && fresh;
-                    }
-                }
+            sleep(beat / 2).await;
+            let age = self.state_age();
+            let loaded = self.with(|core| core.loaded);
+            let lost = !loaded || age.is_none_or(|a| a > beat.mul_f64(1.6));
+            let fresh = if lost { self.fresh_peer(age, beat).await } else { None };
+            self.shared_outage.store(lost && fresh.is_none(), Ordering::Relaxed);
+            let before = std::mem::replace(&mut *lock(&self.helper), fresh);
+            if before.is_some() != fresh.is_some() {
+                tracing::info!(alone = fresh.is_some(), "whether this node alone has lost the state service");
             }
-            if alone != self.alone.swap(alone, Ordering::Relaxed) {
-                tracing::info!(alone, "whether this node alone has lost the state service");
+        }
+    }
+
+    /// A peer that has been in contact with the state service since this node
+    /// was: in an outage that all share, nodes notice at about the same time.
+    async fn fresh_peer(&self, age: Option<Duration>, beat: Duration) -> Option<usize> {
+        let sights = self.settings.peers.iter().map(|peer| {
+            let (peers, peer) = (self.peers.clone(), peer.clone());
+            tokio::spawn(async move { peers.sight(&peer).await })
+        });
+        let limit = age.unwrap_or(Duration::MAX).saturating_sub(beat).min(beat * 2);
+        let mut best = None;
+        for (n, sight) in sights.collect::<Vec<_>>().into_iter().enumerate() {
+            if let Ok(Some(sight)) = sight.await
+                && sight.ready
+                && u128::from(sight.state_age_ms) < limit.as_millis()
+            {
+                let seen = (sight.state_age_ms, n);
+                best = Some(best.map_or(seen, |b: (u64, usize)| b.min(seen)));
             }
         }
+        best.map(|(_, n)| n)
     }
 }
--- a/crates/dapplecroft-controller/src/node.rs
+++ b/crates/dapplecroft-controller/src/node.rs
@@ -14,7 +14,7 @@
 use serde::Serialize;
 use std::collections::BTreeSet;
 use std::future::Future;
-use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Instant, SystemTime};
 use tokio::sync::{Notify, oneshot};
@@ -103,8 +103,11 @@
     pub(crate) wake_fleet: Notify,
     pub(crate) to_command: Mutex<BTreeSet<String>>,
     pub(crate) requests: AtomicUsize,
-    /// Whether this node alone is out of contact with the state service.
-    pub(crate) alone: AtomicBool,
+    /// The peer that answers users for this node, while this node alone is out
+    /// of contact with the state service.
+    pub(crate) helper: Mutex<Option<usize>>,
+    /// Whether nobody is known to reach the state service.
+    pub(crate) shared_outage: AtomicBool,
     pub(crate) consulting: AtomicBool,
     /// When the state service last answered this node's lease renewal.
     pub(crate) touched: Mutex<Option<Instant>>,
@@ -158,7 +161,8 @@
             wake_fleet: Notify::new(),
             to_command: Mutex::default(),
             requests: AtomicUsize::new(0),
-            alone: AtomicBool::new(false),
+            helper: Mutex::default(),
+            shared_outage: AtomicBool::new(false),
             consulting: AtomicBool::new(false),
             touched: Mutex::default(),
         })
@@ -221,13 +225,12 @@
         }
     }
 
+    /// A node that has not read the records yet is of no use while others are,
+    /// but in an outage that all share it stays in service: coming back costs
+    /// users longer than the refusals that they get meanwhile.
     fn up(&self) -> Reply {
-        let ready = self.with(|core| core.loaded);
-        if ready && !self.alone.load(std::sync::atomic::Ordering::Relaxed) {
-            Reply::json(200, &serde_json::json!({"up": true}))
-        } else {
-            Reply::busy("not ready", 1)
-        }
+        let ready = self.with(|core| core.loaded) || self.shared_outage.load(Ordering::Relaxed);
+        if ready { Reply::json(200, &serde_json::json!({"up": true})) } else { Reply::busy("not ready", 1) }
     }
 
     fn hello(&self, body: &[u8]) -> Reply {
--- a/crates/dapplecroft-controller/src/peers.rs
+++ b/crates/dapplecroft-controller/src/peers.rs
@@ -1,10 +1,12 @@
 //! What controllers ask of each other.
 
-use crate::node::{Node, lock, now};
+use crate::node::{Node, Reply, lock, now};
 use async_trait::async_trait;
 use dapplecroft_net::Request;
 use dapplecroft_wire::peer::peer_server::Peer as PeerProtocol;
-use dapplecroft_wire::peer::{ProbeReply, ProbeRequest, SightReply, SightRequest};
+use dapplecroft_wire::peer::{
+    ForwardReply, ForwardRequest, ProbeReply, ProbeRequest, SightReply, SightRequest,
+};
 use dapplecroft_wire::settings::Peer;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +22,8 @@
     async fn probe(&self, peer: &Peer, addresses: Vec<String>) -> Option<Vec<String>>;
     /// How the peer sees the world.
     async fn sight(&self, peer: &Peer) -> Option<SightReply>;
+    /// Has a user's request answered by the peer.
+    async fn forward(&self, peer: &Peer, request: ForwardRequest) -> Option<Reply>;
 }
 
 /// Nobody to ask.
@@ -34,6 +38,9 @@
     async fn sight(&self, _: &Peer) -> Option<SightReply> {
         None
     }
+    async fn forward(&self, _: &Peer, _: ForwardRequest) -> Option<Reply> {
+        None
+    }
 }
 
 /// Answers what other controllers ask.
@@ -42,9 +49,8 @@
 impl PeerService {
     /// How this node sees the world.
     pub fn own_sight(&self) -> SightReply {
-        let age = lock(&self.0.touched).map_or(u64::MAX, |at| {
-            u64::try_from(now().saturating_duration_since(at).as_millis()).unwrap_or(u64::MAX)
-        });
+        let age =
+            self.0.state_age().map_or(u64::MAX, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
         SightReply {
             host: self.0.settings.host_name.clone(),
             state_age_ms: age,
@@ -52,6 +58,12 @@
         }
     }
 
+    /// Answers another node's user, from what this node knows and reaches.
+    pub async fn own_forward(&self, request: ForwardRequest) -> Option<Reply> {
+        let method = http::Method::from_bytes(request.method.as_bytes()).ok()?;
+        Some(self.0.answer_user(&method, &request.path, request.body.into()).await)
+    }
+
     /// Which of these workers this node gets an answer from.
     pub async fn own_probe(&self, addresses: Vec<String>) -> Vec<String> {
         let mut probes = JoinSet::new();
@@ -79,9 +91,25 @@
         let reached = self.own_probe(request.into_inner().addresses).await;
         Ok(tonic::Response::new(ProbeReply { reached }))
     }
+
+    async fn forward(
+        &self,
+        request: tonic::Request<ForwardRequest>,
+    ) -> Result<tonic::Response<ForwardReply>, tonic::Status> {
+        let Some(reply) = self.own_forward(request.into_inner()).await else {
+            return Err(tonic::Status::invalid_argument("no such method"));
+        };
+        let Reply { status, body, retry_after } = reply;
+        Ok(tonic::Response::new(ForwardReply { status: u32::from(status), body, retry_after }))
+    }
 }
 
 impl Node {
+    /// How long ago the state service last answered this node's renewal.
+    pub(crate) fn state_age(&self) -> Option<Duration> {
+        lock(&self.touched).map(|at| now().saturating_duration_since(at))
+    }
+
     /// Asks a worker for its report.
     pub(crate) async fn ask_status(&self, address: &str) -> Option<dapplecroft_wire::workers::Report> {
         let request = Request {
--- a/crates/dapplecroft-controller/src/users.rs
+++ b/crates/dapplecroft-controller/src/users.rs
@@ -7,6 +7,7 @@
 use dapplecroft_sched::Amounts;
 use dapplecroft_state::{Unit, UnitResult};
 use dapplecroft_wire::MAX_BODY;
+use dapplecroft_wire::peer::ForwardRequest;
 use dapplecroft_wire::state::{Change, Condition};
 use dapplecroft_wire::users::{JobSpec, JobStatus, Stage, valid_id};
 use http::Method;
@@ -34,7 +35,21 @@
 }
 
 impl Node {
+    /// Answers a user, through a peer while this node alone has lost the state
+    /// service.
     pub(crate) async fn user_request(self: &Arc<Self>, method: &Method, path: &str, body: Bytes) -> Reply {
+        let helper = *lock(&self.helper);
+        if let Some(peer) = helper.and_then(|n| self.settings.peers.get(n)) {
+            let request =
+                ForwardRequest { method: method.to_string(), path: path.to_string(), body: body.to_vec() };
+            if let Some(reply) = self.peers.forward(peer, request).await {
+                return reply;
+            }
+        }
+        self.answer_user(method, path, body).await
+    }
+
+    pub(crate) async fn answer_user(self: &Arc<Self>, method: &Method, path: &str, body: Bytes) -> Reply {
         let Some(rest) = path.strip_prefix("/v2/runs") else {
             return Reply::problem(404, "no such path");
         };
--- a/crates/dapplecroft/src/grpc.rs
+++ b/crates/dapplecroft/src/grpc.rs
@@ -1,9 +1,9 @@
 //! The controllers' gRPC protocol over TCP.
 
-use dapplecroft_controller::{PeerService, Peers};
+use dapplecroft_controller::{PeerService, Peers, Reply};
 use dapplecroft_wire::peer::peer_client::PeerClient;
 use dapplecroft_wire::peer::peer_server::PeerServer;
-use dapplecroft_wire::peer::{ProbeRequest, SightReply, SightRequest};
+use dapplecroft_wire::peer::{ForwardRequest, ProbeRequest, SightReply, SightRequest};
 use dapplecroft_wire::settings::Peer;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -12,6 +12,8 @@
 use tonic::transport::{Channel, Endpoint, Server};
 
 const TIMEOUT: Duration = Duration::from_secs(3);
+/// A sight that comes later says nothing about now.
+const SIGHT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Asks the other controllers; connections are made when first needed.
 #[derive(Default)]
@@ -43,9 +45,16 @@
 
     async fn sight(&self, peer: &Peer) -> Option<SightReply> {
         let mut client = self.client(peer)?;
-        let reply = tokio::time::timeout(TIMEOUT, client.sight(SightRequest {})).await.ok()?.ok()?;
+        let reply = tokio::time::timeout(SIGHT_TIMEOUT, client.sight(SightRequest {})).await.ok()?.ok()?;
         Some(reply.into_inner())
     }
+
+    async fn forward(&self, peer: &Peer, request: ForwardRequest) -> Option<Reply> {
+        let mut client = self.client(peer)?;
+        let reply = tokio::time::timeout(TIMEOUT, client.forward(request)).await.ok()?.ok()?.into_inner();
+        let status = u16::try_from(reply.status).ok()?;
+        Some(Reply { status, body: reply.body, retry_after: reply.retry_after })
+    }
 }
 
 /// Serves the other controllers until the process ends.
