Keep stale leaders from the cloud, and count commands of an ended session as on their way

Found by reading: a leader out of contact could release machines until its block lease ran out; and after a new session a second message to a worker could overtake the first, so that a clear might be followed by a repeated start. Both have a guard; the first has a story.

--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -122,7 +122,10 @@
     /// Compares the wanted fleet with the known one.
     pub fn fleet_step(&mut self, now: Instant) -> FleetActions {
         let mut actions = FleetActions::default();
-        if self.holding(now).is_none() {
+        // The cloud checks no token: a leader that may have been replaced leaves
+        // machines alone, well before it stops answering workers.
+        let age = self.role.contact.map(|at| now.saturating_duration_since(at));
+        if self.holding(now).is_none() || age.is_none_or(|a| a > self.options.node_lease) {
             return actions;
         }
         self.gone.retain(|_, at| now.saturating_duration_since(*at) < REMEMBER_GONE);
--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -71,9 +71,8 @@
             return;
         }
         let first = machine.heard.is_none();
-        if report.session > machine.session {
-            machine.commanding = false;
-        }
+        // Commands on their way stay counted as such even if the session is new:
+        // `clear` must wait until none can be.
         machine.session = report.session;
         machine.sequence = report.sequence;
         machine.seen_token = report.token;
--- a/crates/dapplecroft-controller/tests/stories/failures.rs
+++ b/crates/dapplecroft-controller/tests/stories/failures.rs
@@ -232,3 +232,25 @@
     assert_eq!(c.referee.starts("run-1/0"), 2);
     c.assert_rules_kept();
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_may_have_been_replaced_rents_and_releases_nothing() {
+    let c = Cluster::with(4, slow(&[("run-1", 60)]), Options::default()).await;
+    c.submit("run-1", "free", 2, 16.0, "normal").await;
+    c.until_running(2).await;
+    let old = c.leader().unwrap();
+    let machine = c.referee.on()["run-1/0"].clone();
+    // It loses the state service and one of its workers; the others lose neither.
+    c.net.rule(Rule::all(&host(old), STATE, Action::Drop));
+    pause(4.5).await;
+    c.net.rule(Rule::all(&machine, &crate::cluster::address(old), Action::Drop));
+    c.net.rule(Rule::all(&host(old), &format!("w:{machine}"), Action::Drop));
+    c.until("another leader", || c.leader().is_some_and(|n| n != old)).await;
+    pause(20.0).await;
+    assert!(c.cloud.machines().contains(&machine));
+    assert_eq!(c.cloud.rented(), 2);
+    c.net.clear_rules();
+    c.until_stage("run-1", "done").await;
+    assert!((0..2).all(|i| c.referee.starts(&format!("run-1/{i}")) == 1));
+    c.assert_rules_kept();
+}
