--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -17,8 +17,9 @@
 const MAX_DISPLACED: usize = 20;
 
 /// In which order jobs are served: rank, then work within a guarantee, then how
-/// pressing it is, then the larger tasks, then what is due first.
-type Order = (u8, bool, Pressing, Reverse<i64>, u64, u64);
+/// pressing it is, then the larger tasks, then the jobs with the least left to
+/// do, then what is due first.
+type Order = (u8, bool, Pressing, Reverse<i64>, u64, u64, u64);
 
 /// How pressing a job is. Best fit is decreasing within each of these.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -127,11 +128,13 @@
                 }
                 let within = guaranteed.get(id).copied().unwrap_or(false);
                 let due = self.due(job);
+                let tasks = job.record.tasks - job.done().min(job.record.tasks);
                 let key = (
                     job.rank(),
                     !within,
                     pressing(due - wall, job.spec.estimate_s),
                     Reverse(job.need.amounts.cpus),
+                    (f64::from(tasks) * job.spec.estimate_s) as u64,
                     (due.max(0.0) * 1000.0) as u64,
                     (job.record.at.max(0.0) * 1000.0) as u64,
                 );
