Keep a machine's record until no placement names it

Found by reading: a leader that ended between the answered release of a machine and the commit of what it proves left placements on a machine that its successor did not know, and their tasks would have waited for ever. The story fails without the change. Also sets the rates of the state service by the present role, however it was lost.

--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -386,12 +386,14 @@
         for machine in self.machines.values_mut().filter(|m| !m.recording) {
             let key = records::machine_key(&machine.id);
             let gone = self.gone.contains_key(&machine.id);
+            if gone && !machine.tasks.is_empty() {
+                // The record outlives the placements on the machine.
+                continue;
+            }
             let change = if gone && machine.recorded.is_some() {
                 Change::Drop { key }
             } else if gone {
-                if machine.tasks.is_empty() {
-                    forgotten.push(machine.id.clone());
-                }
+                forgotten.push(machine.id.clone());
                 continue;
             } else {
                 let known = machine.recorded.is_some_and(|(_, address)| address || machine.address.is_none());
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -249,11 +249,13 @@
                     }
                 }
                 None => {
+                    // One that placements still name is kept: if this node comes
+                    // to hold the block, it has to find proof that they are gone.
                     if let Some(machine) = self.machines.get_mut(id) {
                         machine.recorded = None;
-                    }
-                    if self.role.holding.is_none() {
-                        self.machines.remove(id);
+                        if self.role.holding.is_none() && machine.tasks.is_empty() {
+                            self.machines.remove(id);
+                        }
                     }
                 }
             },
--- a/crates/dapplecroft-controller/src/loops/election.rs
+++ b/crates/dapplecroft-controller/src/loops/election.rs
@@ -49,6 +49,7 @@
         match self.state.touch(lease).await {
             Outcome::Done(true) => {
                 *lock(&self.touched) = Some(sent);
+                self.set_rates(self.with(|core| core.role.leadership.is_some()));
                 self.confirm().await;
                 true
             }
@@ -207,7 +208,6 @@
             Outcome::Done(Verdicts::Conflict(failed)) => {
                 tracing::info!(?failed, "leadership lost");
                 self.with(|core| core.resign("replaced"));
-                self.set_rates(false);
                 for key in failed {
                     self.refresh(&key, || true).await;
                 }
--- a/crates/dapplecroft-controller/tests/stories/failures.rs
+++ b/crates/dapplecroft-controller/tests/stories/failures.rs
@@ -254,3 +254,22 @@
     assert!((0..2).all(|i| c.referee.starts(&format!("run-1/{i}")) == 1));
     c.assert_rules_kept();
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_ends_between_a_release_and_the_commit_of_what_it_proves_loses_no_task() {
+    let c = Cluster::with(4, slow(&[("run-1", 30)]), Options::default()).await;
+    c.submit("run-1", "free", 1, 16.0, "normal").await;
+    c.until_running(1).await;
+    let machine = c.referee.on()["run-1/0"].clone();
+    c.cloud.take(&machine);
+    // The end of the task's stay on the dead machine never gets through.
+    c.net.rule(Rule::all("", STATE, Action::Drop).path("/multi").body("\"t\":{\"0\":1}"));
+    let leader = c.leader().unwrap();
+    c.until("the release is answered", || c.node(leader).with(|core| core.gone.contains_key(&machine))).await;
+    pause(3.0).await;
+    c.kill_node(leader);
+    c.net.clear_rules();
+    c.until_stage("run-1", "done").await;
+    assert_eq!(c.referee.starts("run-1/0"), 2);
+    c.assert_rules_kept();
+}
