--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -167,7 +167,7 @@
                     machine.probing = true;
                     actions.probe.push((machine.id.clone(), address.clone()));
                 }
-                if silence > report.mul_f64(2.2) && machine.missed_probes >= 2 && machine.fate != Fate::Lost {
+                if silence > report.mul_f64(1.9) && machine.missed_probes >= 1 && machine.fate != Fate::Lost {
                     let address = machine.address.clone().unwrap_or_default();
                     actions.silent.push((machine.id.clone(), address));
                 }
@@ -201,8 +201,9 @@
     /// on them runs elsewhere once that is answered.
     pub fn condemn(&mut self, ids: &[String]) {
         for id in ids {
+            // One that has answered meanwhile is spared.
             if let Some(machine) = self.machines.get_mut(id)
-                && machine.missed_probes >= 2
+                && machine.missed_probes >= 1
             {
                 machine.fate = Fate::Lost;
             }
@@ -238,7 +239,7 @@
         let mut slots: Vec<Slot> = self
             .machines
             .values()
-            .filter(|m| m.fate == Fate::Keep && m.taken_at.is_none() && m.missed_probes < 2)
+            .filter(|m| m.fate == Fate::Keep && m.taken_at.is_none() && m.missed_probes == 0)
             .filter_map(|m| self.slot(m, true))
             .collect();
         for request in self.fleet.renting.values() {
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -196,6 +196,16 @@
         let constrained = one_zone || spread;
         let mut zones = if constrained { self.zones_of(job) } else { BTreeMap::new() };
         let avoid = if job.failed_on.len() < 2 { job.failed_on.clone() } else { Default::default() };
+        // Kept for another job by a drain, or this job failed there.
+        let reserved = self.drain.as_ref().map(|(d, _)| d.clone());
+        let mut closed = Vec::new();
+        for (index, slot) in slots.iter_mut().enumerate().filter(|(_, s)| s.open) {
+            let kept = reserved.as_ref().is_some_and(|d| d.machine == slot.machine && *d.for_job != **id);
+            if kept || avoid.contains(&slot.machine) {
+                slot.open = false;
+                closed.push(index);
+            }
+        }
         let mut placed = 0;
         let mut skipped = Vec::new();
         while placed < most {
@@ -216,27 +226,13 @@
                 let here = zones.get(zone).copied().unwrap_or(0);
                 (!one_zone || zones.is_empty() || here > 0) && (!spread || here < tasks.div_ceil(2))
             };
-            let reserved = self.drain.as_ref().map(|(d, _)| d.clone());
             let pinned = reserved.as_ref().and_then(|d| {
                 let (_, _, _, to) = d.moves.iter().find(|(j, i, _, _)| **j == **id && *i == index)?;
                 let found = slots.iter().position(|s| s.machine == *to)?;
                 (slots[found].open && need.fits(&slots[found]) && zone_ok(&slots[found].zone))
                     .then_some(found)
             });
-            let closed: Vec<usize> = slots
-                .iter()
-                .enumerate()
-                .filter(|(_, s)| {
-                    let kept =
-                        reserved.as_ref().is_some_and(|d| d.machine == s.machine && *d.for_job != **id);
-                    s.open && (kept || avoid.contains(&s.machine))
-                })
-                .map(|(i, _)| i)
-                .collect();
-            closed.iter().for_each(|&i| slots[i].open = false);
-            let found = pinned.or_else(|| best_fit(slots, &need, zone_ok));
-            closed.iter().for_each(|&i| slots[i].open = true);
-            let Some(found) = found else { break };
+            let Some(found) = pinned.or_else(|| best_fit(slots, &need, zone_ok)) else { break };
             let slot = &mut slots[found];
             slot.booked += need.amounts;
             if let Some(image) = &need.image {
@@ -249,6 +245,7 @@
             self.propose(&task, &machine, now);
             placed += 1;
         }
+        closed.into_iter().for_each(|index| slots[index].open = true);
         if let Some(job) = self.open_job_mut(id) {
             job.requeued.extend(skipped);
         }
--- a/crates/dapplecroft-controller/src/loops/fleet.rs
+++ b/crates/dapplecroft-controller/src/loops/fleet.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 const STEP: Duration = Duration::from_millis(500);
@@ -119,11 +120,15 @@
             silent.iter().map(|(_, a)| a.clone()).filter(|a| !a.is_empty()).collect();
         let mut reached = std::collections::HashSet::new();
         let mut answers = 0;
+        // All at once: every moment counts for what ran there.
+        let mut probes = JoinSet::new();
         for peer in &self.settings.peers {
-            if let Some(addresses) = self.peers.probe(peer, addresses.clone()).await {
-                answers += 1;
-                reached.extend(addresses);
-            }
+            let (peers, peer, addresses) = (self.peers.clone(), peer.clone(), addresses.clone());
+            probes.spawn(async move { peers.probe(&peer, addresses).await });
+        }
+        for addresses in probes.join_all().await.into_iter().flatten() {
+            answers += 1;
+            reached.extend(addresses);
         }
         let all = self.with(|core| core.heard_machines());
         let most = silent.len() * 2 > all && all > 2;
