--- a/crates/dapplecroft-cloud/src/lib.rs
+++ b/crates/dapplecroft-cloud/src/lib.rs
@@ -130,6 +130,9 @@
     }
     match serde_json::from_slice(&response.body) {
         Ok(value) => Outcome::Done(value),
-        Err(e) => Outcome::Unknown(format!("bad answer: {e}")),
+        Err(error) => {
+            tracing::warn!(%error, "the cloud's answer cannot be read");
+            Outcome::Unknown(format!("bad answer: {error}"))
+        }
     }
 }
--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -121,6 +121,9 @@
             Ok(r) if r.status == 200 || r.status == 409 => serde_json::from_slice(&r.body).ok(),
             _ => None,
         };
+        if let (Ok(r), None) = (&answer, &report) {
+            tracing::warn!(machine = id, status = r.status, "a worker's answer to commands cannot be read");
+        }
         let end = match (&answer, &report) {
             (Ok(_), Some(report)) => CommandEnd::Answered(report),
             (Err(Failure::NotSent(_)), _) => CommandEnd::NotDelivered,
