--- /dev/null
+++ b/crates/dapplecroft-controller/src/core/admission.rs
@@ -0,0 +1,223 @@
+//! The leader's admission of waiting tasks to blocks, within team limits.
+
+use super::Core;
+use super::placing::Round;
+use crate::jobs::OpenJob;
+use crate::ranges::Ranges;
+use dapplecroft_sched::{Candidate, HasImage, best_fit};
+use dapplecroft_wire::users::Rank;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Tasks that a block could not start for so long are taken back, if another
+/// block can start some.
+const STALLED: Duration = Duration::from_secs(5);
+/// Part of a block's processors for which work may wait there, so that its
+/// holder fills what becomes free without asking; more for urgent work, for
+/// which other work gives way there.
+const BACKLOG: i64 = 16;
+const URGENT_BACKLOG: i64 = 4;
+
+/// What a block could start of a job.
+struct Fit {
+    block: u32,
+    total: i64,
+    with_image: i64,
+    used: bool,
+}
+
+impl Core {
+    /// Whether a block has a holder that is up.
+    fn is_served(&self, block: u32) -> bool {
+        self.is_holder(block) || self.holder_host(block).is_some()
+    }
+
+    /// Sets room aside for what other holders have been given and have not
+    /// placed yet.
+    pub(super) fn reserve_backlog(&self, round: &mut Round, now: Instant) {
+        for id in &self.waiting {
+            let Some(job) = self.open_job(id) else { continue };
+            for (block, waiting) in &job.waiting {
+                if self.is_holder(*block) {
+                    continue;
+                }
+                let count = i64::from(waiting.len());
+                *round.backlog.entry(*block).or_default() += job.need.amounts.cpus * count;
+                self.reserve(id, job, *block, count, round, now);
+            }
+        }
+    }
+
+    fn reserve(&self, id: &Arc<str>, job: &OpenJob, block: u32, count: i64, round: &mut Round, now: Instant) {
+        let machines = self.candidates(id, job, block, &round.reserved, now);
+        let candidates: Vec<Candidate> = machines.iter().map(|(_, c)| *c).collect();
+        for (index, n) in best_fit(&candidates, &job.need.amounts, count) {
+            *round.reserved.entry(machines[index].0.clone()).or_default() += job.need.amounts.times(n);
+        }
+    }
+
+    fn fit(&self, id: &Arc<str>, job: &OpenJob, block: u32, round: &Round, now: Instant) -> Fit {
+        let mut fit = Fit { block, total: 0, with_image: 0, used: job.record.admitted.contains_key(&block) };
+        for (_, c) in self.candidates(id, job, block, &round.reserved, now) {
+            let n = job.need.amounts.times_in(&(c.capacity - c.booked)).max(1);
+            fit.total += n;
+            if c.image != HasImage::No {
+                fit.with_image += n;
+            }
+        }
+        fit
+    }
+
+    /// Admits what of a job can start somewhere, to as few blocks as will do,
+    /// since each costs records of its own; and a little of what can't yet.
+    pub(super) fn admit(&mut self, id: &Arc<str>, round: &mut Round, now: Instant) {
+        let Some(job) = self.open_job(id).filter(|j| j.is_open() && !j.unadmitted.is_empty()) else { return };
+        let Some(book) = self.teams.get(&job.spec.team) else { return };
+        let headroom = book.headroom(&job.need.amounts);
+        let mut left = i64::from(job.unadmitted.len()).min(headroom);
+        if left <= 0 {
+            return;
+        }
+        let constrained = job.spec.one_zone || job.spec.spread;
+        let mut fits: Vec<Fit> = self
+            .roomy
+            .iter()
+            .filter(|(block, machines)| {
+                let most = machines.last().map_or(-1, |(free, _)| *free);
+                most >= job.need.amounts.cpus && self.is_served(**block)
+            })
+            .map(|(block, _)| self.fit(id, job, *block, round, now))
+            .filter(|f| f.total > 0)
+            .collect();
+        if constrained {
+            // Its constraints hold across all its tasks, so one holder has to
+            // see all of them.
+            let used = job.record.admitted.keys().chain(job.admitting.keys()).next().copied();
+            fits.retain(|f| used.is_none_or(|b| b == f.block));
+        }
+        fits.sort_by_key(|f| {
+            let all = f.total >= left;
+            std::cmp::Reverse((all, f.with_image.min(left), f.used, f.total, std::cmp::Reverse(f.block)))
+        });
+        if constrained {
+            fits.truncate(1);
+            if let Some(fit) = fits.first_mut() {
+                fit.total = left;
+            }
+        }
+        for fit in fits {
+            if left <= 0 {
+                break;
+            }
+            let own = self.is_holder(fit.block);
+            let most = if own { fit.total.min(round.left as i64) } else { fit.total };
+            let n = left.min(most);
+            if n > 0 {
+                left -= n;
+                self.admit_to(id, fit.block, n as u32, round, now);
+                if own {
+                    self.place_in(id, fit.block, round, now);
+                }
+            }
+        }
+        if left > 0 && !constrained && round.left > 0 {
+            self.admit_ahead(id, left, round, now);
+        }
+    }
+
+    fn admit_to(&mut self, id: &Arc<str>, block: u32, count: u32, round: &mut Round, now: Instant) {
+        let Some(job) = self.open_job_mut(id) else { return };
+        let ranges = job.unadmitted.head(count);
+        let own = job.admitting.entry(block).or_default();
+        *own = own.union(&ranges);
+        self.rederive(id);
+        self.mark_dirty(id);
+        if !self.is_holder(block) {
+            let Some(job) = self.open_job(id) else { return };
+            self.reserve(id, job, block, i64::from(count), round, now);
+            *round.backlog.entry(block).or_default() += job.need.amounts.cpus * i64::from(count);
+        }
+    }
+
+    /// Admits a little of what fits nowhere now to another holder's block,
+    /// where it starts as soon as something there becomes free.
+    fn admit_ahead(&mut self, id: &Arc<str>, left: i64, round: &mut Round, now: Instant) {
+        let Some(job) = self.open_job(id) else { return };
+        let need = job.need.clone();
+        if need.amounts.cpus <= 0 {
+            return;
+        }
+        let part = if job.spec.priority < Rank::Normal { URGENT_BACKLOG } else { BACKLOG };
+        let free = |block: u32| -> i64 {
+            let size: i64 = self
+                .roomy
+                .get(&block)
+                .into_iter()
+                .flatten()
+                .filter_map(|(_, name)| self.machines.get(name))
+                .filter(|m| m.seems_open() && need.allows(&m.machine_type, &m.zone, m.spot))
+                .filter(|m| need.amounts.fits(&m.capacity))
+                .map(|m| m.capacity.cpus)
+                .sum();
+            size / part - round.backlog.get(&block).copied().unwrap_or(0)
+        };
+        let best = self
+            .roomy
+            .keys()
+            .copied()
+            .filter(|b| !self.is_holder(*b) && self.is_served(*b))
+            .map(|b| (free(b) / need.amounts.cpus, std::cmp::Reverse(b)))
+            .max();
+        if let Some((most, std::cmp::Reverse(block))) = best.filter(|(n, _)| *n > 0) {
+            self.admit_to(id, block, left.min(most) as u32, round, now);
+        }
+    }
+
+    /// Takes back what a block could not start soon, if others could.
+    pub(super) fn take_back_stalled(&mut self, id: &Arc<str>, round: &Round, now: Instant) {
+        let Some(job) = self.open_job_mut(id) else { return };
+        let (waiting, old) = (&job.waiting, &job.stalled);
+        job.stalled = waiting
+            .iter()
+            .map(|(block, ranges)| {
+                let same = old.get(block).filter(|(_, first)| Some(*first) == ranges.first());
+                (*block, same.copied().unwrap_or((now, ranges.first().unwrap_or(0))))
+            })
+            .collect();
+        let stalled: Vec<u32> = job
+            .stalled
+            .iter()
+            .filter(|(_, (since, _))| now.saturating_duration_since(*since) >= STALLED)
+            .map(|(block, _)| *block)
+            .collect();
+        for block in stalled {
+            let Some(job) = self.open_job(id) else { return };
+            let elsewhere = self
+                .roomy
+                .iter()
+                .filter(|(b, m)| {
+                    **b != block && m.last().is_some_and(|(free, _)| *free >= job.need.amounts.cpus)
+                })
+                .any(|(b, _)| self.is_served(*b) && self.fit(id, job, *b, round, now).total > 0);
+            let served = self.is_served(block);
+            if !elsewhere && served || job.spec.one_zone || job.spec.spread {
+                continue;
+            }
+            let ranges: Ranges = job.waiting.get(&block).cloned().unwrap_or_default().head(1000);
+            let admitted = job.record.admitted.get(&block).cloned().unwrap_or_default();
+            // What is not committed yet can't be taken back yet.
+            let ranges = ranges.without(&ranges.without(&admitted));
+            if ranges.is_empty() {
+                continue;
+            }
+            tracing::debug!(job = %id, block, tasks = ranges.len(), "taken back from a block");
+            if let Some(job) = self.open_job_mut(id) {
+                job.stalled.remove(&block);
+                let own = job.revoking.entry(block).or_default();
+                *own = own.union(&ranges);
+            }
+            self.rederive(id);
+            self.mark_dirty(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dapplecroft-controller/src/core/blocks.rs
@@ -0,0 +1,236 @@
+//! Leases of machine blocks: which the leader gives to whom, and what a holder
+//! does when it gains or loses one.
+
+use super::{Core, drain};
+use crate::jobs::Job;
+use crate::records::{self, BlockRecord};
+use dapplecroft_wire::state::{Change, Condition, Transaction};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// A lease of a block of machines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Holding {
+    /// Its epoch.
+    pub epoch: u64,
+    /// Version of the block's record.
+    pub version: u64,
+}
+
+/// A block that the leader leases to a controller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Lease {
+    /// The block.
+    pub block: u32,
+    /// The record.
+    pub record: BlockRecord,
+    /// The version that it replaces.
+    pub version: u64,
+}
+
+impl Core {
+    /// All blocks that exist: those with a record, and those that machines name.
+    pub(super) fn block_numbers(&self) -> Vec<u32> {
+        let mut numbers: Vec<u32> = self.blocks.keys().copied().collect();
+        numbers.extend(self.groups.values().map(|g| g.record.block));
+        numbers.push(0);
+        numbers.sort_unstable();
+        numbers.dedup();
+        numbers
+    }
+
+    /// How many machines each block has.
+    pub(super) fn block_sizes(&self) -> BTreeMap<u32, usize> {
+        let mut sizes = BTreeMap::new();
+        for group in self.groups.values() {
+            *sizes.entry(group.record.block).or_default() += group.record.machines.len();
+        }
+        sizes
+    }
+
+    /// The leases that the leader should give now: blocks whose holder is gone
+    /// go to the least loaded controllers, and one block at a time moves from
+    /// the most to the least loaded if that evens them out. The leader's own
+    /// work grows with the number of blocks, so it holds fewer of many.
+    pub fn wanted_leases(&self) -> Vec<Lease> {
+        let Some(leadership) = self.role.leadership.filter(|l| *l <= self.followed) else {
+            return Vec::new();
+        };
+        let numbers = self.block_numbers();
+        let sizes = self.block_sizes();
+        let size = |block: &u32| sizes.get(block).copied().unwrap_or(0);
+        let own_work = (numbers.len() - 1) * self.options.block_machines / 8;
+        let mut load: BTreeMap<&str, usize> = self
+            .live
+            .iter()
+            .map(|(host, l)| (host.as_str(), if l.identity == self.identity { own_work } else { 0 }))
+            .collect();
+        let mut vacant = Vec::new();
+        let mut held: BTreeMap<&str, Vec<u32>> = BTreeMap::new();
+        for block in &numbers {
+            let holder = self
+                .blocks
+                .get(block)
+                .map(|(b, _)| b)
+                .filter(|b| self.live.get(&b.host).is_some_and(|live| live.identity == b.identity));
+            match holder {
+                Some(holder) => {
+                    *load.entry(holder.host.as_str()).or_default() += size(block);
+                    held.entry(holder.host.as_str()).or_default().push(*block);
+                }
+                None => vacant.push(*block),
+            }
+        }
+        let leader = self.live.iter().find(|(_, l)| l.identity == self.identity).map(|(h, _)| h.as_str());
+        let least = |load: &BTreeMap<&str, usize>| {
+            load.iter()
+                .min_by_key(|(host, n)| (**n, Some(**host) != leader))
+                .map(|(host, n)| (host.to_string(), *n))
+        };
+        let mut leases = Vec::new();
+        vacant.sort_by_key(|b| std::cmp::Reverse(size(b)));
+        for block in vacant {
+            let Some((host, _)) = least(&load) else { break };
+            if let Some(n) = load.get_mut(host.as_str()) {
+                // An empty block will not stay empty.
+                *n += size(&block).max(self.options.block_machines / 2);
+            }
+            leases.extend(self.lease(block, &host, leadership));
+        }
+        if leases.is_empty()
+            && let Some((to, low)) = least(&load)
+            && let Some((from, high)) = load.iter().max_by_key(|(_, n)| **n)
+        {
+            // It helps only if the lesser load stays the lesser one.
+            let moved = held
+                .get(from)
+                .into_iter()
+                .flatten()
+                .filter(|b| size(b) > 0 && low + size(b) * 2 <= *high)
+                .max_by_key(|b| size(b));
+            leases.extend(moved.and_then(|block| self.lease(*block, &to, leadership)));
+        }
+        leases
+    }
+
+    fn lease(&self, block: u32, host: &str, leadership: u64) -> Option<Lease> {
+        let live = self.live.get(host)?;
+        let (old, version) = self.blocks.get(&block).map_or((0, 0), |(b, v)| (b.epoch, *v));
+        // The epoch comes from a revision of the state service, and only grows.
+        let epoch = (old + 1).max(leadership);
+        let record = BlockRecord { host: host.to_string(), identity: live.identity.clone(), epoch };
+        Some(Lease { block, record, version })
+    }
+
+    /// The transaction that gives leases, as many as one holds.
+    pub fn lease_transaction(&self, leases: &[Lease]) -> Option<Transaction> {
+        let leadership = self.role.leadership?;
+        let mut conditions = vec![Condition { key: records::LEADER.into(), version: leadership }];
+        let mut changes = Vec::new();
+        for lease in leases.iter().take(self.settings.params.state.txn_ops) {
+            let key = records::block_key(lease.block);
+            conditions.push(Condition { key: key.clone(), version: lease.version });
+            let value = serde_json::to_value(&lease.record).ok()?;
+            changes.push(Change::Set { key, value, lease: None });
+        }
+        (!changes.is_empty()).then_some(Transaction { conditions, changes })
+    }
+
+    /// Takes up the blocks that were leased to this process, once its copy of
+    /// the records has caught up with the lease: what earlier holders committed
+    /// is known then, and nothing of theirs can be committed any more, since
+    /// every such commit names the block's version.
+    pub fn take_blocks(&mut self, now: Instant) {
+        let taken: Vec<(u32, Holding)> = self
+            .blocks
+            .iter()
+            .filter(|(n, (b, version))| {
+                b.identity == self.identity
+                    && *version <= self.followed
+                    && !self.role.holdings.contains_key(n)
+            })
+            .map(|(n, (b, version))| (*n, Holding { epoch: b.epoch, version: *version }))
+            .collect();
+        if taken.is_empty() {
+            return;
+        }
+        tracing::info!(blocks = ?taken.iter().map(|(n, h)| (*n, h.epoch)).collect::<Vec<_>>(), "blocks taken up");
+        for (block, holding) in taken {
+            self.hold(block, holding, now);
+        }
+    }
+
+    /// Takes note of holding a block, and forgets what was believed of its
+    /// machines: only what they tell this holder counts.
+    fn hold(&mut self, block: u32, holding: Holding, now: Instant) {
+        self.role.holdings.insert(block, holding);
+        let mut jobs: Vec<Arc<str>> = Vec::new();
+        for machine in self.machines.values_mut().filter(|m| m.block == block) {
+            machine.reset(now);
+            jobs.extend(machine.tasks.iter().map(|t| t.job.clone()));
+        }
+        jobs.sort_unstable();
+        jobs.dedup();
+        for id in jobs {
+            let Some(Job::Open(job)) = self.jobs.get_mut(&id) else { continue };
+            for placed in job.placed.values_mut().filter(|p| p.block == block) {
+                placed.sent = 0;
+                placed.running = None;
+                placed.since = now;
+            }
+        }
+        self.draining = drain::DrainState::default();
+        self.wakes.place = true;
+        self.wakes.flush = true;
+        self.wakes.fleet = true;
+    }
+
+    /// Takes note of having lost a block. Proposals that are on their way are
+    /// settled by their commits, which name the block's version; the others are
+    /// void, and what its workers proved is proven again to the next holder.
+    pub(super) fn lose_block(&mut self, block: u32, why: &str, now: Instant) {
+        if self.role.holdings.remove(&block).is_none() {
+            return;
+        }
+        tracing::info!(block, why, "block lost");
+        let jobs: Vec<Arc<str>> = self.open.iter().cloned().collect();
+        for id in jobs {
+            let Some(Job::Open(job)) = self.jobs.get_mut(&id) else { continue };
+            let placed = &job.placed;
+            job.exits.retain(|i, _| placed.get(i).is_none_or(|p| p.block != block));
+            if job.committing.is_none() && job.placed.values().any(|p| !p.committed && p.block == block) {
+                self.drop_proposals(&id, Some(block));
+            }
+        }
+        let machines = &self.machines;
+        self.ghosts.retain(|_, on| machines.get(on).is_none_or(|m| m.block != block));
+        for machine in self.machines.values_mut().filter(|m| m.block == block) {
+            machine.reset(now);
+        }
+        let empty: Vec<Arc<str>> = self
+            .machines
+            .values()
+            .filter(|m| m.block == block && m.group.is_none() && m.tasks.is_empty())
+            .map(|m| m.id.clone())
+            .collect();
+        empty.into_iter().for_each(|id| self.forget_machine(&id));
+    }
+
+    /// A holding under which this process may act now.
+    pub fn holding(&self, block: u32, now: Instant) -> Option<Holding> {
+        self.role.holdings.get(&block).copied().filter(|_| self.in_contact(now))
+    }
+
+    /// Whether this process holds a block, in contact or not.
+    pub fn is_holder(&self, block: u32) -> bool {
+        self.role.holdings.contains_key(&block)
+    }
+
+    /// The node, other than this one, that workers of a block should report to.
+    pub fn holder_host(&self, block: u32) -> Option<&str> {
+        let (block, _) = self.blocks.get(&block)?;
+        let live = self.live.get(&block.host).is_some_and(|l| l.identity == block.identity);
+        (live && block.identity != self.identity).then_some(block.host.as_str())
+    }
+}
--- /dev/null
+++ b/crates/dapplecroft-controller/src/core/displace.rs
@@ -0,0 +1,138 @@
+//! Work that has to give way to waiting work of a higher rank.
+
+use super::Core;
+use super::placing::Unplaced;
+use crate::jobs::{Stop, TaskId};
+use crate::machines::Machine;
+use dapplecroft_sched::{Claim, Resident, Slot, pick_victims};
+use dapplecroft_wire::users::Rank;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Most tasks stopped at a time.
+const MAX_DISPLACED: usize = 40;
+/// Pause between two looks for work to displace, which go over all machines.
+const EVERY: Duration = Duration::from_millis(250);
+
+impl Core {
+    /// A machine of an own block as drains and displacement see it.
+    pub(super) fn slot(&self, machine: &Machine, now: Instant) -> Slot {
+        let epoch = self.role.holdings.get(&machine.block).map(|h| h.epoch);
+        Slot {
+            machine: machine.id.to_string(),
+            machine_type: machine.machine_type.clone(),
+            zone: machine.zone.clone(),
+            spot: machine.spot,
+            capacity: machine.capacity,
+            booked: machine.booked,
+            open: epoch.is_some_and(|e| machine.open(e, self.silence(), now)),
+        }
+    }
+
+    /// The tasks booked on a machine.
+    pub(super) fn residents(
+        &self,
+        machine: &Machine,
+        slot: usize,
+        oldest: Duration,
+        now: Instant,
+    ) -> Vec<(TaskId, Resident)> {
+        let mut residents = Vec::new();
+        for task in &machine.tasks {
+            let Some(job) = self.open_job(&task.job) else { continue };
+            let Some(placed) = job.placed.get(&task.index) else { continue };
+            // Time spent on fetching an image is lost with the task too.
+            let ran = now.saturating_duration_since(placed.since);
+            let ended = job.exits.contains_key(&task.index);
+            let resident = Resident {
+                slot,
+                need: job.need.clone(),
+                ran,
+                movable: placed.committed && !ended && ran <= oldest && job.spec.kind == "sweep",
+                leaving: placed.stop.is_some() || ended,
+                rank: job.rank(),
+                beyond_guarantee: self.teams.get(&job.spec.team).is_some_and(|b| b.beyond_guarantee()),
+            };
+            residents.push((task.clone(), resident));
+        }
+        residents
+    }
+
+    /// Stops work that has to give way to waiting work, where the least run
+    /// time is lost. What is leaving anyway counts as room that will be there.
+    pub(super) fn displace(&mut self, unplaced: &[Unplaced], now: Instant) {
+        let urgent = |u: &Unplaced| {
+            u.here > 0 && self.open_job(&u.job).is_some_and(|j| j.spec.priority < Rank::Normal)
+        };
+        // Among ordinary work a guarantee is served first, but stops nothing:
+        // work that is stopped for it waits in its turn, and so on.
+        let claimants: Vec<&Unplaced> = unplaced.iter().filter(|u| urgent(u)).collect();
+        let recent = self.displaced.is_some_and(|at| now.saturating_duration_since(at) < EVERY);
+        if claimants.is_empty() || recent || self.role.holdings.is_empty() {
+            return;
+        }
+        self.displaced = Some(now);
+        let guaranteed = self.guaranteed();
+        let mut hosts: Vec<(Slot, Vec<TaskId>, Vec<Resident>)> = self
+            .machines
+            .values()
+            .filter(|m| self.is_holder(m.block) && !m.tasks.is_empty())
+            .map(|m| {
+                let (tasks, residents) = self.residents(m, 0, Duration::MAX, now).into_iter().unzip();
+                (self.slot(m, now), tasks, residents)
+            })
+            .collect();
+        let mut left = MAX_DISPLACED;
+        for unplaced in claimants {
+            let Some(job) = self.open_job(&unplaced.job) else { continue };
+            let within = guaranteed.get(&unplaced.job).copied().unwrap_or(false);
+            let claim = Claim { rank: job.rank(), within_guarantee: within };
+            let need = unplaced.need.clone();
+            let mut wanted = unplaced.here;
+            for (slot, _, residents) in &mut hosts {
+                if wanted == 0 || !slot.open || !need.allows(&slot.machine_type, &slot.zone, slot.spot) {
+                    continue;
+                }
+                let leaving: dapplecroft_sched::Amounts =
+                    residents.iter().filter(|r| r.leaving).map(|r| r.need.amounts).sum();
+                let n = need.amounts.times_in(&(slot.room() + leaving)).min(wanted);
+                slot.booked += need.amounts.times(n);
+                wanted -= n;
+            }
+            let mut choices: Vec<(Duration, usize, Vec<usize>)> = hosts
+                .iter()
+                .enumerate()
+                .filter_map(|(index, (slot, _, residents))| {
+                    let found = pick_victims(slot, residents, &need, claim, self.options.preempt_limit)?;
+                    Some((found.lost, index, found.residents))
+                })
+                .collect();
+            choices.sort();
+            for (ran, index, victims) in choices.into_iter().take(wanted.max(0) as usize) {
+                if left < victims.len() {
+                    return;
+                }
+                left -= victims.len();
+                let (slot, tasks, residents) = &mut hosts[index];
+                for victim in victims {
+                    residents[victim].leaving = true;
+                    let task = tasks[victim].clone();
+                    tracing::info!(task = %task, for_job = %unplaced.job, ?claim, ?ran, "a task gives way");
+                    self.stop(&task, Stop::Preempted);
+                }
+                slot.booked += need.amounts;
+            }
+        }
+    }
+
+    /// Asks for a task's end.
+    pub(super) fn stop(&mut self, task: &TaskId, why: Stop) {
+        let Some(job) = self.open_job_mut(&task.job) else { return };
+        let Some(placed) = job.placed.get_mut(&task.index).filter(|p| p.committed) else { return };
+        if placed.stop.is_none() {
+            placed.stop = Some(why);
+            let machine: Arc<str> = placed.machine.clone();
+            self.wakes.command.insert(machine);
+        }
+    }
+}
--- a/crates/dapplecroft-controller/src/core/drain.rs
+++ b/crates/dapplecroft-controller/src/core/drain.rs
@@ -1,4 +1,5 @@
-//! Adaptive repacking: at most one drain at a time, each with a record.
+//! Adaptive repacking: at most one drain at a time in a holder's blocks, each
+//! with a record.
 
 use super::Core;
 use crate::jobs::{Stop, TaskId};
@@ -7,66 +8,95 @@
 use dapplecroft_state::Unit;
 use dapplecroft_wire::state::{Change, Condition};
 use std::collections::VecDeque;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Pause between two looks, which go over a block's machines.
+const EVERY: Duration = Duration::from_secs(1);
 
 /// What a holder remembers of drains and of how full machines were.
 #[derive(Debug, Default)]
 pub(super) struct DrainState {
+    looked: Option<Instant>,
     last: Option<Instant>,
     seen: Option<(u64, Instant)>,
     shares: VecDeque<(Instant, f64)>,
+    turn: u32,
 }
 
 impl Core {
-    /// The next step of repacking: a change of the drain's record, if any.
+    /// The next step of repacking: a change of a drain's record, if any.
     pub fn drain_step(&mut self, now: Instant) -> Option<Unit> {
-        self.holding(now)?;
-        let slots = self.slots(now);
-        self.note_shares(&slots, now);
-        if let Some((record, version)) = self.drain.clone() {
-            return self.continue_drain(&record, version, now);
+        if self.role.holdings.is_empty() || !self.in_contact(now) {
+            return None;
+        }
+        let begun = self.drains.iter().find(|(block, _)| self.is_holder(**block));
+        if let Some((&block, (record, version))) = begun {
+            let (record, version) = (record.clone(), *version);
+            return self.continue_drain(block, &record, version, now);
+        }
+        if self.draining.looked.is_some_and(|at| now.saturating_duration_since(at) < EVERY) {
+            return None;
         }
-        if self.drains.last.is_some_and(|at| now.saturating_duration_since(at) < self.options.drain_every) {
+        self.draining.looked = Some(now);
+        self.note_shares(now);
+        let recent = |at: Instant| now.saturating_duration_since(at) < self.options.drain_every;
+        if self.draining.last.is_some_and(recent) {
             return None;
         }
-        let record = self.new_drain(&slots, now)?;
-        self.drains.last = Some(now);
+        // One block at a look, in turn, beginning with the first.
+        let turn = self.draining.turn;
+        let held = &self.role.holdings;
+        let block = held.range(turn..).next().or_else(|| held.iter().next()).map(|(b, _)| *b)?;
+        self.draining.turn = block + 1;
+        let record = self.new_drain(block, now)?;
+        self.draining.last = Some(now);
         tracing::info!(
             machine = record.machine,
             for_job = record.for_job,
             moves = record.moves.len(),
             "draining a machine so that a waiting task can start"
         );
-        let mut conditions = self.role_conditions()?;
-        conditions.push(Condition { key: records::DRAIN.into(), version: 0 });
+        let key = records::drain_key(block);
+        let conditions = vec![self.block_condition(block)?, Condition { key: key.clone(), version: 0 }];
         let value = serde_json::to_value(&record).ok()?;
-        let changes = vec![Change::Set { key: records::DRAIN.into(), value, lease: None }];
-        Some(Unit { conditions, changes })
+        Some(Unit { conditions, changes: vec![Change::Set { key, value, lease: None }] })
+    }
+
+    fn block_condition(&self, block: u32) -> Option<Condition> {
+        let holding = self.role.holdings.get(&block)?;
+        Some(Condition { key: records::block_key(block), version: holding.version })
     }
 
     /// The cap on what a drain fills: the highest share within the window, and
     /// the whole machine until anything was seen.
-    fn note_shares(&mut self, slots: &[Slot], now: Instant) {
-        let highest = slots.iter().filter(|s| s.open).map(Slot::share).fold(0.0, f64::max);
+    fn note_shares(&mut self, now: Instant) {
+        let silence = self.silence();
+        let highest = self
+            .machines
+            .values()
+            .filter(|m| self.role.holdings.get(&m.block).is_some_and(|h| m.open(h.epoch, silence, now)))
+            .map(|m| m.booked.share_of(&m.capacity))
+            .fold(0.0, f64::max);
         let window = self.options.drain_window;
-        let shares = &mut self.drains.shares;
+        let shares = &mut self.draining.shares;
         shares.retain(|(at, _)| now.saturating_duration_since(*at) <= window);
         shares.push_back((now, highest));
     }
 
     fn cap(&self, now: Instant) -> f64 {
         let whole = self
-            .drains
+            .draining
             .shares
             .front()
             .is_none_or(|(at, _)| now.saturating_duration_since(*at) < self.options.drain_window / 2);
         if whole {
             return 1.0;
         }
-        self.drains.shares.iter().map(|(_, s)| *s).fold(0.0, f64::max).min(1.0)
+        self.draining.shares.iter().map(|(_, s)| *s).fold(0.0, f64::max).min(1.0)
     }
 
-    fn new_drain(&self, slots: &[Slot], now: Instant) -> Option<DrainRecord> {
+    fn new_drain(&self, block: u32, now: Instant) -> Option<DrainRecord> {
+        let leads = self.leads(now);
         // Tasks that are put off after failures are not among these.
         let waiting: Vec<(&str, Need)> = self
             .waiting
@@ -74,23 +104,37 @@
             .filter_map(|id| {
                 let job = self.open_job(id)?;
                 let ready = job.is_open() && job.not_before.is_none_or(|at| at <= now);
-                let admitted = self.teams.get(&job.spec.team)?.admits(&job.need.amounts);
-                let fits = slots.iter().any(|s| s.open && job.need.fits(s));
-                (ready && admitted && !fits && job.failures == 0).then(|| (&**id, job.need.clone()))
+                let admitted = job.waiting_in(block) > 0
+                    || leads
+                        && !job.unadmitted.is_empty()
+                        && self.teams.get(&job.spec.team)?.admits(&job.need.amounts);
+                if !ready || !admitted || job.failures > 0 {
+                    return None;
+                }
+                let fits = !self.candidates(id, job, block, &Default::default(), now).is_empty();
+                (!fits).then(|| (&**id, job.need.clone()))
             })
             .collect();
         if waiting.is_empty() {
             return None;
         }
         let needs: Vec<Need> = waiting.iter().map(|(_, n)| n.clone()).collect();
-        let (tasks, residents): (Vec<TaskId>, Vec<Resident>) =
-            self.residents(slots, self.options.drain_every, now).into_iter().unzip();
+        let mut slots: Vec<Slot> = Vec::new();
+        let mut tasks: Vec<TaskId> = Vec::new();
+        let mut residents: Vec<Resident> = Vec::new();
+        for machine in self.machines.values().filter(|m| m.block == block) {
+            for (task, resident) in self.residents(machine, slots.len(), self.options.drain_every, now) {
+                tasks.push(task);
+                residents.push(resident);
+            }
+            slots.push(self.slot(machine, now));
+        }
         let rules = DrainRules {
             trigger: self.options.drain_trigger,
             cap: self.cap(now),
             oldest: self.options.drain_every,
         };
-        let plan = plan_drain(&needs, slots, &residents, rules)?;
+        let plan = plan_drain(&needs, &slots, &residents, rules)?;
         let moves = plan
             .moves
             .iter()
@@ -109,11 +153,17 @@
 
     /// Stops the tasks of the drained machine, and ends the drain when they are
     /// elsewhere, or when it has taken too long.
-    fn continue_drain(&mut self, record: &DrainRecord, version: u64, now: Instant) -> Option<Unit> {
-        let begun = match self.drains.seen {
+    fn continue_drain(
+        &mut self,
+        block: u32,
+        record: &DrainRecord,
+        version: u64,
+        now: Instant,
+    ) -> Option<Unit> {
+        let begun = match self.draining.seen {
             Some((seen, at)) if seen == version => at,
             _ => {
-                self.drains.seen = Some((version, now));
+                self.draining.seen = Some((version, now));
                 now
             }
         };
@@ -122,22 +172,25 @@
             let task = TaskId { job: job.as_str().into(), index: *index };
             let Some(placed) = self.open_job(job).and_then(|j| j.placed.get(index)) else {
                 // Done, or waiting to be placed where the record says.
-                left |= self.open_job(job).is_some_and(|j| j.is_open() && j.requeued.contains(index));
+                let waits =
+                    |j: &crate::jobs::OpenJob| j.waiting.get(&block).is_some_and(|r| r.contains(*index));
+                left |= self.open_job(job).is_some_and(waits);
                 continue;
             };
-            if placed.machine == record.machine && placed.attempt == *attempt {
+            if *placed.machine == *record.machine && placed.attempt == *attempt {
                 left = true;
                 self.stop(&task, Stop::Drained);
             }
         }
-        let emptied = self.machines.get(&record.machine).is_none_or(|m| m.booked == Default::default());
+        let machine = self.machines.get(record.machine.as_str());
+        let emptied = machine.is_none_or(|m| m.booked == Default::default());
         let waits = self.waiting.contains(record.for_job.as_str());
         let long = now.saturating_duration_since(begun) > self.options.drain_every * 2;
         if (left || (emptied && waits)) && !long {
             return None;
         }
-        let mut conditions = self.role_conditions()?;
-        conditions.push(Condition { key: records::DRAIN.into(), version });
-        Some(Unit { conditions, changes: vec![Change::Drop { key: records::DRAIN.into() }] })
+        let key = records::drain_key(block);
+        let conditions = vec![self.block_condition(block)?, Condition { key: key.clone(), version }];
+        Some(Unit { conditions, changes: vec![Change::Drop { key }] })
     }
 }
--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -1,18 +1,19 @@
 //! The wanted fleet, and what is to be done about the difference.
 
-use super::Core;
+use super::{Core, GroupUnit};
 use crate::machines::{Fate, Machine};
-use crate::records::{self, MachineRecord};
+use crate::records::{self, GroupRecord, MemberRecord};
 use dapplecroft_cloud::MAX_RENT;
-use dapplecroft_sched::{Amounts, Offer, Slot, plan_rentals};
-use dapplecroft_state::Unit;
+use dapplecroft_sched::{Amounts, Offer, Rooms, plan_rentals};
 use dapplecroft_wire::cloud::{Catalog, ListedMachine, RentRequest};
-use dapplecroft_wire::state::{Change, Condition};
-use std::collections::{BTreeMap, HashMap};
+use dapplecroft_wire::workers::Report;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Rental requests on their way at a time.
-const MAX_RENTING: usize = 4;
+/// Rental requests that may be on their way at a time even if the cloud takes
+/// fewer a second.
+const MIN_RENTING: usize = 4;
 /// Pause after the first refusal of a kind of machine, doubled by each further
 /// one up to the longest.
 const REFUSED_PAUSE: Duration = Duration::from_secs(5);
@@ -25,15 +26,40 @@
 /// What is paid for a machine at least.
 const MIN_PAID: Duration = Duration::from_secs(60);
 
+/// Probes on their way at a time: a holder that takes up hundreds of machines
+/// must not ask all at once.
+const MAX_PROBES: usize = 16;
+
 type Kind = (String, String, bool);
 
 /// What the leader remembers of the cloud.
 #[derive(Debug, Default)]
 pub(super) struct FleetState {
-    pub(super) began: Option<Instant>,
+    began: Option<Instant>,
     requests: u64,
-    renting: BTreeMap<String, RentRequest>,
+    renting: BTreeMap<String, (RentRequest, u32)>,
     refused: HashMap<Kind, (Instant, u32)>,
+    /// Machines whose release was answered and that a record still names.
+    released: BTreeSet<Arc<str>>,
+    /// Machines that report and that no record names.
+    found: BTreeMap<Arc<str>, Machine>,
+    pub(super) addresses_at: Option<Instant>,
+}
+
+impl FleetState {
+    /// Whether the leader has begun its work.
+    pub(super) fn ready(&self) -> bool {
+        self.began.is_some()
+    }
+
+    pub(super) fn begin(&mut self, now: Instant) {
+        self.began = Some(now);
+    }
+
+    pub(super) fn next_number(&mut self) -> u64 {
+        self.requests += 1;
+        self.requests
+    }
 }
 
 /// What the fleet needs done.
@@ -42,13 +68,13 @@
     /// Rental requests to send.
     pub rent: Vec<RentRequest>,
     /// Machines to release.
-    pub release: Vec<String>,
+    pub release: Vec<Arc<str>>,
     /// Workers to ask for their status: machine and address.
-    pub probe: Vec<(String, String)>,
+    pub probe: Vec<(Arc<str>, String)>,
     /// Silent machines: name and address. Others should be asked about them.
-    pub silent: Vec<(String, String)>,
+    pub silent: Vec<(Arc<str>, String)>,
     /// Records to write.
-    pub records: Vec<(String, Unit)>,
+    pub records: Vec<GroupUnit>,
 }
 
 impl Core {
@@ -65,6 +91,7 @@
         let changed = self.catalog.as_ref().is_none_or(|old| plain(old) != plain(&catalog));
         let unrecorded = self.version(records::CATALOG) == 0;
         self.catalog = Some(catalog);
+        self.size_machines();
         self.wakes.place = true;
         changed || unrecorded
     }
@@ -122,29 +149,99 @@
     /// Compares the wanted fleet with the known one.
     pub fn fleet_step(&mut self, now: Instant) -> FleetActions {
         let mut actions = FleetActions::default();
+        if !self.loaded || !self.has_role() || !self.in_contact(now) {
+            return actions;
+        }
+        self.gone.retain(|_, at| now.saturating_duration_since(*at) < REMEMBER_GONE);
+        let due = self.judge_machines(&mut actions, now);
+        self.prove_released(now);
         // The cloud checks no token: a leader that may have been replaced leaves
         // machines alone, well before it stops answering workers.
         let age = self.role.contact.map(|at| now.saturating_duration_since(at));
-        if self.holding(now).is_none() || age.is_none_or(|a| a > self.options.node_lease) {
-            return actions;
+        let mut give_up = BTreeSet::new();
+        if self.leads(now) && age.is_some_and(|a| a <= self.options.node_lease) {
+            self.releases(due, &mut actions);
+            self.take_in_found();
+            self.rentals(&mut actions, now);
+        } else if !self.leads(now) {
+            give_up = due;
         }
-        self.gone.retain(|_, at| now.saturating_duration_since(*at) < REMEMBER_GONE);
-        self.judge_machines(&mut actions, now);
-        self.rentals(&mut actions, now);
-        actions.records = self.machine_records();
+        let machines = &self.machines;
+        self.fleet.released.retain(|id| machines.get(id).is_some_and(|m| m.group.is_some()));
+        let released = self.fleet.released.clone();
+        actions.records = self.group_units(&give_up, &released, now);
         actions
     }
 
-    /// Decides each machine's fate, and which are to be probed or released.
-    fn judge_machines(&mut self, actions: &mut FleetActions, now: Instant) {
-        let report = self.settings.report_every();
-        let boots: BTreeMap<String, Duration> = self
+    /// What is to be released: what is due in the leader's own blocks, and what
+    /// other holders have given up or the cloud says has stopped.
+    fn releases(&mut self, due: BTreeSet<Arc<str>>, actions: &mut FleetActions) {
+        let holdings = &self.role.holdings;
+        for machine in self.machines.values_mut() {
+            let wanted = due.contains(&machine.id)
+                || machine.given_up
+                || (machine.fate == Fate::Lost && !holdings.contains_key(&machine.block));
+            let waits = machine.releasing || machine.group.is_none();
+            if wanted && !waits && !self.fleet.released.contains(&machine.id) {
+                machine.releasing = true;
+                tracing::info!(machine = &*machine.id, fate = ?machine.fate, "releasing a machine");
+                actions.release.push(machine.id.clone());
+            }
+        }
+    }
+
+    fn take_in_found(&mut self) {
+        let found = std::mem::take(&mut self.fleet.found);
+        let unknown: Vec<Machine> = found
+            .into_values()
+            .filter(|m| {
+                let known = self.machines.get(&m.id).is_some_and(|k| k.group.is_some());
+                !known && !self.is_expected(&m.id) && !self.gone.contains_key(&m.id)
+            })
+            .collect();
+        if !unknown.is_empty() {
+            tracing::info!(machines = unknown.len(), "machines that nobody expected are taken in");
+            self.adopt(unknown);
+        }
+    }
+
+    /// A placement on a machine that no group has is proven over: machines are
+    /// recorded before anything is placed on them, and leave their group only
+    /// once their release was answered. It counts once the copy of the records
+    /// has caught up with the placement.
+    fn prove_released(&mut self, now: Instant) {
+        let orphans: Vec<Arc<str>> = self
             .machines
             .values()
-            .map(|m| (m.machine_type.clone(), self.boot_time(&m.machine_type)))
+            .filter(|m| m.group.is_none() && self.role.holdings.contains_key(&m.block))
+            .filter(|m| {
+                m.tasks.iter().all(|t| {
+                    let Some(job) = self.open_job(&t.job) else { return true };
+                    let chunk = job.chunks.get(&(job.chunk_of(t.index), m.block));
+                    chunk.is_some_and(|(_, version)| *version <= self.followed)
+                })
+            })
+            .map(|m| m.id.clone())
             .collect();
+        for id in orphans {
+            self.machine_gone(&id, now);
+            self.forget_machine(&id);
+        }
+    }
+
+    /// Decides the fate of each machine of own blocks, and which are to be
+    /// probed; returns those that are due to be released.
+    fn judge_machines(&mut self, actions: &mut FleetActions, now: Instant) -> BTreeSet<Arc<str>> {
+        let report = self.settings.report_every();
+        let hulls = self.catalog.iter().flat_map(|c| &c.hulls);
+        let boots: BTreeMap<String, Duration> =
+            hulls.map(|h| (h.name.clone(), self.boot_time(&h.name))).collect();
         let idle = self.idle_times();
-        for machine in self.machines.values_mut() {
+        let holdings = &self.role.holdings;
+        let own = |m: &Machine| m.group.is_some() && holdings.contains_key(&m.block);
+        let mut probes = self.machines.values().filter(|m| own(m) && m.probing).count();
+        let mut all_due = BTreeSet::new();
+        for machine in self.machines.values_mut().filter(|m| own(m)) {
             if machine.tasks.is_empty() && machine.idle_since.is_none() {
                 machine.idle_since = Some(now);
             }
@@ -153,7 +250,7 @@
             if machine.heard.is_none() && machine.address.is_none() {
                 let boot = boots.get(&machine.machine_type).copied().unwrap_or(report);
                 if machine.fate == Fate::Keep && age > boot * 3 + Duration::from_secs(10) {
-                    tracing::info!(machine = machine.id, ?age, "a machine did not come up");
+                    tracing::info!(machine = &*machine.id, ?age, "a machine did not come up");
                     machine.fate = Fate::Lost;
                 }
             } else {
@@ -163,8 +260,10 @@
                     && ask
                     && !machine.probing
                     && !machine.releasing
+                    && probes < MAX_PROBES
                 {
                     machine.probing = true;
+                    probes += 1;
                     actions.probe.push((machine.id.clone(), address.clone()));
                 }
                 if silence > report.mul_f64(1.9) && machine.missed_probes >= 1 && machine.fate != Fate::Lost {
@@ -181,7 +280,7 @@
                 let keep = self.options.idle_return.unwrap_or(usual).max(MIN_PAID.saturating_sub(age));
                 let unused = machine.idle_since.is_some_and(|at| now.saturating_duration_since(at) > keep);
                 if machine.failed_jobs.len() >= 2 {
-                    tracing::info!(machine = machine.id, "tasks of several jobs failed: quarantined");
+                    tracing::info!(machine = &*machine.id, "tasks of several jobs failed: quarantined");
                     machine.fate = Fate::Returning;
                 } else if unused && machine.heard.is_some() && machine.taken_at.is_none() {
                     machine.fate = Fate::Returning;
@@ -189,17 +288,16 @@
             }
             let empty = machine.tasks.is_empty();
             let due = machine.fate == Fate::Lost || (machine.fate == Fate::Returning && empty);
-            if due && !machine.releasing {
-                machine.releasing = true;
-                tracing::info!(machine = machine.id, fate = ?machine.fate, "releasing a machine");
-                actions.release.push(machine.id.clone());
+            if due && !machine.given_up {
+                all_due.insert(machine.id.clone());
             }
         }
+        all_due
     }
 
     /// Gives up on machines that nobody reaches: they are released, and what is
     /// on them runs elsewhere once that is answered.
-    pub fn condemn(&mut self, ids: &[String]) {
+    pub fn condemn(&mut self, ids: &[Arc<str>]) {
         for id in ids {
             // One that has answered meanwhile is spared.
             if let Some(machine) = self.machines.get_mut(id)
@@ -211,9 +309,10 @@
         self.wakes.fleet = true;
     }
 
-    /// How many machines were ever heard by this holder.
+    /// How many machines of own blocks have come up.
     pub fn heard_machines(&self) -> usize {
-        self.machines.values().filter(|m| m.heard.is_some() || m.address.is_some()).count()
+        let own = self.machines.values().filter(|m| self.is_holder(m.block));
+        own.filter(|m| m.heard.is_some() || m.address.is_some()).count()
     }
 
     /// Notes the end of a probe without an answer.
@@ -232,68 +331,100 @@
         }
     }
 
-    /// All machines that take or will take work, and what is on its way. Those
-    /// that are up count too: a machine that has just come up gets its tasks in
-    /// the next round, and nothing must be rented for them meanwhile.
-    fn coming(&self) -> Vec<Slot> {
-        let mut slots: Vec<Slot> = self
-            .machines
-            .values()
-            .filter(|m| m.fate == Fate::Keep && m.taken_at.is_none() && m.missed_probes == 0)
-            .filter_map(|m| self.slot(m, true))
-            .collect();
-        for request in self.fleet.renting.values() {
-            for _ in 0..request.count {
-                slots.push(Slot {
-                    machine: String::new(),
-                    machine_type: request.machine_type.clone(),
-                    zone: request.zone.clone(),
-                    spot: request.spot,
-                    capacity: self.capacity(&request.machine_type).unwrap_or_default(),
-                    booked: Amounts::default(),
-                    images: BTreeMap::new(),
-                    open: true,
-                    doubtful: false,
-                });
+    /// All machines that take or will take work, and what is on its way, counted
+    /// by kind and room. Those that are up count too: a machine that has just
+    /// come up gets its tasks in the next round, and nothing must be rented for
+    /// them meanwhile.
+    fn coming(&self) -> Vec<Rooms> {
+        let mut kinds: BTreeMap<(&str, &str, bool, i64, i64, i64), i64> = BTreeMap::new();
+        for machine in self.machines.values() {
+            let lost = machine.fate != Fate::Keep
+                || machine.given_up
+                || machine.group.is_none()
+                || machine.taken_at.is_some()
+                || machine.missed_probes > 0;
+            if lost || machine.capacity.cpus == 0 {
+                continue;
             }
+            let room = machine.room();
+            let key =
+                (&*machine.machine_type, &*machine.zone, machine.spot, room.cpus, room.gpus, room.memory);
+            *kinds.entry(key).or_default() += 1;
         }
-        slots
+        let mut rooms: Vec<Rooms> = kinds
+            .into_iter()
+            .map(|((machine_type, zone, spot, cpus, gpus, memory), count)| Rooms {
+                machine_type: machine_type.to_string(),
+                zone: zone.to_string(),
+                spot,
+                room: Amounts { cpus, gpus, memory },
+                count,
+            })
+            .collect();
+        let asked = self
+            .fleet
+            .renting
+            .values()
+            .map(|(r, _)| (r.machine_type.clone(), r.zone.clone(), r.spot, i64::from(r.count)));
+        let uncommitted = self.groups.values().filter(|g| g.version == 0).map(|g| {
+            let r = &g.record;
+            (r.machine_type.clone(), r.zone.clone(), r.spot, r.machines.len() as i64)
+        });
+        for (machine_type, zone, spot, count) in asked.chain(uncommitted) {
+            let room = self.capacity(&machine_type).unwrap_or_default();
+            rooms.push(Rooms { machine_type, zone, spot, room, count });
+        }
+        rooms
     }
 
     fn rentals(&mut self, actions: &mut FleetActions, now: Instant) {
         let Some(leadership) = self.role.leadership else { return };
-        if self.unplaced.is_empty() || self.fleet.renting.len() >= MAX_RENTING {
+        let most = (self.settings.params.cloud.rps.ceil() as usize).max(MIN_RENTING);
+        if self.unplaced.is_empty() || self.fleet.renting.len() >= most {
             return;
         }
         let thrift = self.options.thrift;
         let offers = self.offers(now);
-        let plan = plan_rentals(&self.unplaced, self.coming(), &offers, thrift, MAX_RENT);
-        for rental in plan.into_iter().take(MAX_RENTING - self.fleet.renting.len()) {
+        let machines = MAX_RENT * (most - self.fleet.renting.len()) as u32;
+        let plan = plan_rentals(&self.unplaced, self.coming(), &offers, thrift, machines);
+        let mut taken: BTreeMap<u32, usize> = BTreeMap::new();
+        for (request, block) in self.fleet.renting.values() {
+            *taken.entry(*block).or_default() += request.count as usize;
+        }
+        for rental in plan {
             let offer = &offers[rental.offer];
-            self.fleet.requests += 1;
-            // The name is unique without a write of its own: the version of the
-            // leader's key, committed before, belongs to this leadership alone.
-            let request = RentRequest {
-                request: format!("dc-{leadership}-{}", self.fleet.requests),
-                machine_type: offer.machine_type.clone(),
-                zone: offer.zone.clone(),
-                spot: offer.spot,
-                count: rental.count.min(MAX_RENT),
-            };
-            tracing::info!(
-                machine_type = request.machine_type,
-                spot = request.spot,
-                count = request.count,
-                "renting machines"
-            );
-            self.fleet.renting.insert(request.request.clone(), request.clone());
-            actions.rent.push(request);
+            let mut left = rental.count;
+            while left > 0 && self.fleet.renting.len() < most {
+                let (block, space) = self.block_with_room(&taken);
+                let count = left.min(MAX_RENT).min(space.max(1) as u32);
+                left -= count;
+                *taken.entry(block).or_default() += count as usize;
+                // The name is unique without a write of its own: the version of
+                // the leader's key, committed before, belongs to this
+                // leadership alone.
+                let request = RentRequest {
+                    request: format!("dc-{leadership}-{}", self.fleet.next_number()),
+                    machine_type: offer.machine_type.clone(),
+                    zone: offer.zone.clone(),
+                    spot: offer.spot,
+                    count,
+                };
+                tracing::info!(
+                    machine_type = request.machine_type,
+                    spot = request.spot,
+                    count,
+                    block,
+                    "renting machines"
+                );
+                self.fleet.renting.insert(request.request.clone(), (request.clone(), block));
+                actions.rent.push(request);
+            }
         }
     }
 
     /// Notes the machines that a request brought; none: there is no capacity.
     pub fn rented(&mut self, request: &RentRequest, machines: &[String], now: Instant) {
-        self.fleet.renting.remove(&request.request);
+        let Some((_, block)) = self.fleet.renting.remove(&request.request) else { return };
         let kind = (request.machine_type.clone(), request.zone.clone(), request.spot);
         if machines.len() < request.count as usize {
             let (_, times) = self.fleet.refused.get(&kind).copied().unwrap_or((now, 0));
@@ -310,13 +441,15 @@
         } else {
             self.fleet.refused.remove(&kind);
         }
-        if self.role.holding.is_none() {
-            return;
-        }
-        for id in machines.iter().filter(|id| !self.gone.contains_key(*id)) {
-            self.machines
-                .entry(id.clone())
-                .or_insert_with(|| Machine::new(id, &request.machine_type, &request.zone, request.spot, now));
+        let machines: BTreeMap<String, MemberRecord> = machines
+            .iter()
+            .filter(|id| !self.gone.contains_key(id.as_str()))
+            .map(|id| (id.clone(), MemberRecord::default()))
+            .collect();
+        if !machines.is_empty() {
+            let (machine_type, zone) = (request.machine_type.clone(), request.zone.clone());
+            let record = GroupRecord { block, machine_type, zone, spot: request.spot, machines };
+            self.new_group(&request.request, record);
         }
         self.wakes.fleet = true;
     }
@@ -326,36 +459,45 @@
         self.fleet.renting.remove(&request.request);
     }
 
+    /// Notes a machine that reports and that no record names.
+    pub(super) fn found(&mut self, report: &Report, now: Instant) {
+        let id: Arc<str> = report.machine.as_str().into();
+        let mut machine = Machine::new(&id, 0, now);
+        machine.machine_type.clone_from(&report.machine_type);
+        machine.zone.clone_from(&report.zone);
+        machine.spot = report.spot;
+        machine.address = Some(report.address.clone());
+        self.fleet.found.insert(id, machine);
+        self.wakes.fleet = true;
+    }
+
     /// Takes over a list of machines; it lags, and may be older than the last.
     pub fn listed(&mut self, list: &[ListedMachine], now: Instant) {
-        if self.role.holding.is_none() {
+        if !self.leads(now) {
             return;
         }
         let lag = Duration::from_secs_f64(self.settings.params.cloud.list_lag_s);
         // Before that, a list may still show what an earlier leader released.
         let settled = self.fleet.began.is_some_and(|at| now.saturating_duration_since(at) > lag * 2);
         for listed in list {
-            if self.gone.contains_key(&listed.id) {
+            if self.gone.contains_key(listed.id.as_str()) {
                 continue;
             }
-            match self.machines.get_mut(&listed.id) {
+            match self.machines.get_mut(listed.id.as_str()).filter(|m| m.group.is_some()) {
                 Some(machine) => {
-                    if machine.machine_type.is_empty() {
-                        machine.machine_type.clone_from(&listed.machine_type);
-                        machine.zone.clone_from(&listed.zone);
-                        machine.spot = listed.spot;
-                    }
                     if listed.state == "failed" && machine.fate != Fate::Lost {
-                        tracing::info!(machine = machine.id, "a machine stopped on its own");
+                        tracing::info!(machine = &*machine.id, "a machine stopped on its own");
                         machine.fate = Fate::Lost;
                         self.wakes.fleet = true;
                     }
                 }
                 None if settled => {
-                    tracing::info!(machine = listed.id, "a listed machine that nobody expected is taken in");
-                    let machine =
-                        Machine::new(&listed.id, &listed.machine_type, &listed.zone, listed.spot, now);
-                    self.machines.insert(listed.id.clone(), machine);
+                    let id: Arc<str> = listed.id.as_str().into();
+                    let mut machine = Machine::new(&id, 0, now);
+                    machine.machine_type.clone_from(&listed.machine_type);
+                    machine.zone.clone_from(&listed.zone);
+                    machine.spot = listed.spot;
+                    self.fleet.found.insert(id, machine);
                 }
                 None => {}
             }
@@ -363,67 +505,21 @@
     }
 
     /// Notes machines whose release was answered: they are gone with all that
-    /// was on them.
-    pub fn released(&mut self, ids: &[String], now: Instant) {
+    /// was on them. Other holders learn it from the machines' records.
+    pub fn released(&mut self, ids: &[Arc<str>], now: Instant) {
         for id in ids {
+            self.fleet.released.insert(id.clone());
             self.machine_gone(id, now);
         }
+        self.wakes.fleet = true;
     }
 
     /// Notes that a release was not carried out; it is tried again.
-    pub fn release_failed(&mut self, ids: &[String]) {
+    pub fn release_failed(&mut self, ids: &[Arc<str>]) {
         for id in ids {
             if let Some(machine) = self.machines.get_mut(id) {
                 machine.releasing = false;
             }
         }
     }
-
-    /// Records of machines that are behind.
-    fn machine_records(&mut self) -> Vec<(String, Unit)> {
-        let Some(conditions) = self.role_conditions() else { return Vec::new() };
-        let mut units = Vec::new();
-        let mut forgotten = Vec::new();
-        for machine in self.machines.values_mut().filter(|m| !m.recording) {
-            let key = records::machine_key(&machine.id);
-            let gone = self.gone.contains_key(&machine.id);
-            if gone && !machine.tasks.is_empty() {
-                // The record outlives the placements on the machine.
-                continue;
-            }
-            let change = if gone && machine.recorded.is_some() {
-                Change::Drop { key }
-            } else if gone {
-                forgotten.push(machine.id.clone());
-                continue;
-            } else {
-                let known = machine.recorded.is_some_and(|(_, address)| address || machine.address.is_none());
-                if known || machine.machine_type.is_empty() {
-                    continue;
-                }
-                let record = MachineRecord {
-                    machine_type: machine.machine_type.clone(),
-                    zone: machine.zone.clone(),
-                    spot: machine.spot,
-                    address: machine.address.clone(),
-                };
-                let Ok(value) = serde_json::to_value(&record) else { continue };
-                Change::Set { key, value, lease: None }
-            };
-            machine.recording = true;
-            let conditions: Vec<Condition> = conditions.clone();
-            units.push((machine.id.clone(), Unit { conditions, changes: vec![change] }));
-        }
-        for id in forgotten {
-            self.machines.remove(&id);
-        }
-        units
-    }
-
-    /// Notes the end of writing a machine's record.
-    pub fn recorded(&mut self, id: &str) {
-        if let Some(machine) = self.machines.get_mut(id) {
-            machine.recording = false;
-        }
-    }
 }
--- /dev/null
+++ b/crates/dapplecroft-controller/src/core/groups.rs
@@ -0,0 +1,167 @@
+//! The records of machines, a group at a time: who belongs to which block,
+//! where workers listen, what its holder has given up, what the leader has
+//! released.
+
+use super::{Core, Group};
+use crate::machines::Machine;
+use crate::records::{self, GroupRecord, MemberRecord};
+use dapplecroft_state::Unit;
+use dapplecroft_wire::state::{Change, Condition};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Addresses are written for one group at a time, this far apart: hundreds of
+/// machines that come up together must not use up the writes.
+const ADDRESSES_EVERY: Duration = Duration::from_millis(500);
+
+/// A change of a group's record.
+#[derive(Debug, Clone)]
+pub struct GroupUnit {
+    /// The group.
+    pub name: Arc<str>,
+    /// The unit.
+    pub unit: Unit,
+}
+
+impl Core {
+    /// Begins a group of machines that this leader rented or takes in.
+    pub(super) fn new_group(&mut self, name: &str, record: GroupRecord) {
+        let group = Group { record, version: 0, writing: false, behind: false };
+        self.groups.insert(name.into(), group);
+        self.wakes.fleet = true;
+    }
+
+    /// Whether a machine is in a group that is not committed yet.
+    pub(super) fn is_expected(&self, machine: &str) -> bool {
+        self.groups.values().any(|g| g.version == 0 && g.record.machines.contains_key(machine))
+    }
+
+    /// The block that further machines join, and how many: the fullest with
+    /// room left, else a new one.
+    pub(super) fn block_with_room(&self, taken: &BTreeMap<u32, usize>) -> (u32, usize) {
+        let most = self.options.block_machines;
+        let sizes = self.block_sizes();
+        let size = |b: u32| sizes.get(&b).copied().unwrap_or(0) + taken.get(&b).copied().unwrap_or(0);
+        let mut numbers = self.block_numbers();
+        numbers.extend(taken.keys());
+        numbers.sort_unstable();
+        numbers.dedup();
+        let open = numbers.iter().copied().filter(|b| size(*b) < most);
+        let block = open.max_by_key(|b| (size(*b), std::cmp::Reverse(*b)));
+        // The lowest number that is not in use.
+        let fresh = (0..).find(|n| !numbers.contains(n)).unwrap_or(0);
+        let block = block.unwrap_or(fresh);
+        (block, most - size(block))
+    }
+
+    /// Group records that differ from what is known, as far as this process may
+    /// write them.
+    pub(super) fn group_units(
+        &mut self,
+        give_up: &BTreeSet<Arc<str>>,
+        released: &BTreeSet<Arc<str>>,
+        now: Instant,
+    ) -> Vec<GroupUnit> {
+        let mut units = Vec::new();
+        let mut addresses =
+            self.fleet.addresses_at.is_none_or(|at| now.saturating_duration_since(at) >= ADDRESSES_EVERY);
+        let leadership = self.role.leadership;
+        let touched: BTreeSet<Arc<str>> = give_up
+            .iter()
+            .chain(released)
+            .filter_map(|id| self.machines.get(id).and_then(|m| m.group.clone()))
+            .collect();
+        let mut emptied = Vec::new();
+        for (name, group) in &mut self.groups {
+            let asked = group.version == 0 || touched.contains(name) || (addresses && group.behind);
+            if group.writing || !asked {
+                continue;
+            }
+            let holding = self.role.holdings.get(&group.record.block);
+            let mut conditions = vec![Condition { key: records::group_key(name), version: group.version }];
+            let mut record = group.record.clone();
+            if holding.is_some() {
+                for (id, member) in &mut record.machines {
+                    member.given_up |= give_up.contains(id.as_str());
+                    let known = self.machines.get(id.as_str()).and_then(|m| m.address.as_ref());
+                    if member.address.is_none() || known.is_some() {
+                        member.address = known.cloned();
+                    }
+                }
+            }
+            if leadership.is_some() {
+                record.machines.retain(|id, _| !released.contains(id.as_str()));
+            }
+            if record == group.record && group.version > 0 {
+                group.behind = false;
+                continue;
+            }
+            if group.behind && holding.is_some() {
+                addresses = false;
+                self.fleet.addresses_at = Some(now);
+                group.behind = false;
+            }
+            let by_leader = group.version == 0 || record.machines.len() < group.record.machines.len();
+            if by_leader {
+                let Some(version) = leadership else {
+                    if group.version == 0 {
+                        emptied.push(name.clone());
+                    }
+                    continue;
+                };
+                conditions.push(Condition { key: records::LEADER.into(), version });
+            } else if let Some(holding) = holding {
+                let key = records::block_key(group.record.block);
+                conditions.push(Condition { key, version: holding.version });
+            }
+            let key = records::group_key(name);
+            let change = if record.machines.is_empty() {
+                if group.version == 0 {
+                    emptied.push(name.clone());
+                    continue;
+                }
+                Change::Drop { key }
+            } else {
+                let Ok(value) = serde_json::to_value(&record) else { continue };
+                Change::Set { key, value, lease: None }
+            };
+            group.writing = true;
+            units.push(GroupUnit { name: name.clone(), unit: Unit { conditions, changes: vec![change] } });
+        }
+        for name in emptied {
+            self.groups.remove(&name);
+        }
+        units
+    }
+
+    /// Notes the end of a write; what was not made is worked out again.
+    pub fn group_written(&mut self, name: &str) {
+        if let Some(group) = self.groups.get_mut(name) {
+            group.writing = false;
+            group.behind = true;
+        }
+        self.wakes.fleet = true;
+    }
+
+    /// Takes in machines that no record names, as leader.
+    pub(super) fn adopt(&mut self, found: Vec<Machine>) {
+        let Some(term) = self.role.leadership else { return };
+        let mut taken: BTreeMap<u32, usize> = BTreeMap::new();
+        let mut groups: BTreeMap<(u32, String, String, bool), Vec<Machine>> = BTreeMap::new();
+        for machine in found {
+            let (block, _) = self.block_with_room(&taken);
+            *taken.entry(block).or_default() += 1;
+            let key = (block, machine.machine_type.clone(), machine.zone.clone(), machine.spot);
+            groups.entry(key).or_default().push(machine);
+        }
+        for ((block, machine_type, zone, spot), members) in groups {
+            let name = format!("dc-{term}-{}", self.fleet.next_number());
+            let machines = members
+                .into_iter()
+                .map(|m| (m.id.to_string(), MemberRecord { address: m.address, given_up: false }))
+                .collect();
+            self.new_group(&name, GroupRecord { block, machine_type, zone, spot, machines });
+        }
+    }
+}
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -1,25 +1,29 @@
-//! A round of placement: best fit decreasing on the dominant share, and the
-//! displacement of work that has to give way.
+//! A round of placement: jobs in the order in which they are served, each by
+//! best fit decreasing on the dominant share inside this holder's blocks.
 
 use super::Core;
-use crate::jobs::{OpenJob, Placed, Stop, TaskId};
-use crate::machines::{Fate, Machine};
-use dapplecroft_sched::{Amounts, Claim, Demand, Need, Resident, Slot, best_fit, pick_victims};
-use dapplecroft_wire::users::Rank;
+use crate::jobs::{Job, OpenJob, Placed, TaskId};
+use crate::machines::Machine;
+use dapplecroft_sched::{Amounts, Candidate, Demand, HasImage, Need, TeamBook, best_fit};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Most placements of one round, so that a round never holds up reports.
 const MAX_PER_ROUND: usize = 200;
-/// Most displacements of one round.
-const MAX_DISPLACED: usize = 20;
+/// Users want even the largest jobs to begin within minutes: one of which
+/// nothing has run for so long goes before all others of its rank, and ranks
+/// one higher.
+const BEGIN_WITHIN: f64 = 100.0;
+/// The same for what has begun and does not get on.
+const END_WITHIN: f64 = 240.0;
 
-/// In which order jobs are served: rank, then work within a guarantee, then how
-/// pressing it is, then the larger tasks, then the jobs with the least left to
-/// do, then what is due first.
-type Order = (u8, bool, Pressing, Reverse<i64>, u64, u64, u64);
+/// In which order jobs are served: rank, then those that have waited very long
+/// by age, then work within a guarantee, then how pressing it is, then the
+/// larger tasks, then the jobs with the least left to do, then what is due
+/// first.
+type Order = (u8, u64, bool, Pressing, Reverse<i64>, u64, u64, u64);
 
 /// How pressing a job is. Best fit is decreasing within each of these.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -43,42 +47,30 @@
     }
 }
 
-impl Core {
-    /// Machines as placement sees them. Only those whose worker has accepted
-    /// the present token, and is heard, are open.
-    pub(super) fn slots(&self, now: Instant) -> Vec<Slot> {
-        let Some(holding) = self.role.holding else { return Vec::new() };
-        let silence = self.settings.report_every().mul_f64(1.5);
-        self.machines
-            .values()
-            .filter_map(|m| {
-                let heard = m.heard.is_some_and(|at| now.saturating_duration_since(at) <= silence);
-                let open = heard
-                    && m.synced(holding.epoch)
-                    && m.fate == Fate::Keep
-                    && !m.releasing
-                    && m.taken_at.is_none()
-                    && m.failed_jobs.len() < 2;
-                self.slot(m, open)
-            })
-            .collect()
-    }
+/// What a round has decided so far.
+#[derive(Debug, Default)]
+pub(super) struct Round {
+    /// Placements that may still be made.
+    pub left: usize,
+    /// Room that the leader counts on in other holders' blocks.
+    pub reserved: HashMap<Arc<str>, Amounts>,
+    /// Processors of work that other holders have waiting, by block.
+    pub backlog: BTreeMap<u32, i64>,
+    /// What teams will use once the work found no place for has one.
+    pub books: HashMap<String, TeamBook>,
+}
 
-    /// A machine as placement sees it; `None` if its type is unknown.
-    pub(super) fn slot(&self, machine: &Machine, open: bool) -> Option<Slot> {
-        Some(Slot {
-            machine: machine.id.clone(),
-            machine_type: machine.machine_type.clone(),
-            zone: machine.zone.clone(),
-            spot: machine.spot,
-            capacity: self.capacity(&machine.machine_type)?,
-            booked: machine.booked,
-            images: machine.images.clone(),
-            open,
-            doubtful: !machine.failed_jobs.is_empty(),
-        })
-    }
+/// Work that found no place: the job, and how much of it.
+pub(super) struct Unplaced {
+    pub job: Arc<str>,
+    pub need: Need,
+    /// Tasks that wait in own blocks, or that any of them could take.
+    pub here: i64,
+    /// All tasks for which machines are wanted.
+    pub count: i64,
+}
 
+impl Core {
     /// What a machine of a type has.
     pub(super) fn capacity(&self, machine_type: &str) -> Option<Amounts> {
         let catalog = self.catalog.as_ref()?;
@@ -88,7 +80,7 @@
 
     /// Jobs that lie within their team's guarantee together with the team's
     /// earlier unfinished ones.
-    fn guaranteed(&self) -> HashMap<Arc<str>, bool> {
+    pub(super) fn guaranteed(&self) -> HashMap<Arc<str>, bool> {
         let mut by_age: Vec<(&Arc<str>, &OpenJob)> = self
             .open
             .iter()
@@ -100,8 +92,7 @@
         let mut result = HashMap::new();
         for (id, job) in by_age {
             let total = totals.entry(job.spec.team.as_str()).or_default();
-            let left = i64::from(job.record.tasks - job.done().min(job.record.tasks));
-            *total += job.need.amounts.times(left);
+            *total += job.need.amounts.times(i64::from(job.left()));
             let within = self.teams.get(&job.spec.team).is_some_and(|b| b.guarantees(total));
             result.insert(id.clone(), within);
         }
@@ -128,15 +119,21 @@
                 }
                 let within = guaranteed.get(id).copied().unwrap_or(false);
                 let due = self.due(job);
-                let tasks = job.record.tasks - job.done().min(job.record.tasks);
+                let at = (job.record.at.max(0.0) * 1000.0) as u64;
+                // Least left first, and missed deadlines last, must starve nobody.
+                let age = wall - job.record.at;
+                let begun = !job.placed.is_empty() || !job.done.is_empty();
+                let starved = age > if begun { END_WITHIN } else { BEGIN_WITHIN };
+                let rank = if starved { job.rank().saturating_sub(1) } else { job.rank() };
                 let key = (
-                    job.rank(),
+                    rank,
+                    if starved { at } else { u64::MAX },
                     !within,
                     pressing(due - wall, job.spec.estimate_s),
                     Reverse(job.need.amounts.cpus),
-                    (f64::from(tasks) * job.spec.estimate_s) as u64,
+                    (f64::from(job.left()) * job.spec.estimate_s) as u64,
                     (due.max(0.0) * 1000.0) as u64,
-                    (job.record.at.max(0.0) * 1000.0) as u64,
+                    at,
                 );
                 Some((key, id.clone()))
             })
@@ -148,124 +145,218 @@
     /// One round. Proposals become commands only once they are committed.
     /// `wall` is the time of day in seconds since 1970.
     pub fn place(&mut self, wall: f64, now: Instant) {
-        if self.holding(now).is_none() || self.catalog.is_none() {
+        if !self.loaded || !self.has_role() || !self.in_contact(now) || self.catalog.is_none() {
             return;
         }
-        let mut slots = self.slots(now);
+        let leads = self.leads(now);
         let order = self.serving_order(wall, now);
-        let mut left = MAX_PER_ROUND;
-        self.unplaced.clear();
+        let mut round = Round { left: MAX_PER_ROUND, ..Round::default() };
+        if leads {
+            self.reserve_backlog(&mut round, now);
+        }
         let mut unplaced = Vec::new();
         for (_, id) in &order {
-            left -= self.place_job(id, &mut slots, left, now);
             let Some(job) = self.open_job(id) else { continue };
-            let book = self.teams.get(&job.spec.team);
-            let room = book.map_or(0, |b| b.headroom(&job.need.amounts));
-            let count = i64::from(job.waiting()).min(room);
-            if count > 0 {
-                unplaced.push((id.clone(), Demand { need: job.need.clone(), count }));
+            let here: Vec<u32> = job.waiting.keys().copied().filter(|b| self.is_holder(*b)).collect();
+            for block in here {
+                self.place_in(id, block, &mut round, now);
+            }
+            if leads {
+                self.take_back_stalled(id, &round, now);
+                self.admit(id, &mut round, now);
             }
+            unplaced.extend(self.left_unplaced(id, &mut round, leads));
+        }
+        if round.left == 0 {
+            self.wakes.place = true;
         }
         if self.options.preempt {
-            self.displace(&unplaced, &slots, now);
+            self.displace(&unplaced, now);
         }
-        if !unplaced.is_empty() {
-            self.wakes.fleet = true;
+        if leads {
+            if !unplaced.is_empty() {
+                self.wakes.fleet = true;
+            }
+            self.unplaced = unplaced
+                .into_iter()
+                .filter(|u| u.count > 0)
+                .map(|u| Demand { need: u.need, count: u.count })
+                .collect();
         }
-        self.unplaced = unplaced.into_iter().map(|(_, demand)| demand).collect();
     }
 
-    /// How many of a job's tasks each zone has.
-    fn zones_of(&self, job: &OpenJob) -> BTreeMap<String, u32> {
-        let mut zones = BTreeMap::new();
-        for placed in job.placed.values() {
-            if let Some(machine) = self.machines.get(&placed.machine) {
-                *zones.entry(machine.zone.clone()).or_default() += 1;
+    /// What of a job found no place; machines are wanted only for what its
+    /// team's limit lets start.
+    fn left_unplaced(&self, id: &Arc<str>, round: &mut Round, leads: bool) -> Option<Unplaced> {
+        let job = self.open_job(id)?;
+        let need = &job.need;
+        let mut here = 0;
+        let mut waiting = 0;
+        for (block, ranges) in &job.waiting {
+            waiting += i64::from(ranges.len());
+            if self.is_holder(*block) {
+                here += i64::from(ranges.len());
             }
         }
-        zones
+        if leads && !job.unadmitted.is_empty() {
+            let book = round
+                .books
+                .entry(job.spec.team.clone())
+                .or_insert_with(|| self.teams.get(&job.spec.team).cloned().unwrap_or_default());
+            let room = book.headroom(&need.amounts).min(i64::from(job.unadmitted.len()));
+            book.used += need.amounts.times(room);
+            here += room;
+            waiting += room;
+        }
+        (waiting > 0).then(|| Unplaced { job: id.clone(), need: need.clone(), here, count: waiting })
+    }
+
+    /// Machines of a block on which a task of a job may start now, as far as
+    /// this process knows: in its own blocks exactly, in others by what their
+    /// holders have committed.
+    pub(super) fn candidates(
+        &self,
+        id: &Arc<str>,
+        job: &OpenJob,
+        block: u32,
+        reserved: &HashMap<Arc<str>, Amounts>,
+        now: Instant,
+    ) -> Vec<(Arc<str>, Candidate)> {
+        let need = &job.need;
+        let Some(roomy) = self.roomy.get(&block) else { return Vec::new() };
+        let epoch = self.role.holdings.get(&block).map(|h| h.epoch);
+        let silence = self.silence();
+        let kept = self.drains.get(&block).map(|(d, _)| d).filter(|d| *d.for_job != **id);
+        // Where it failed, unless it fails everywhere.
+        let avoid = job.failed_on.len() < 2;
+        let least: (i64, Arc<str>) = (need.amounts.cpus, "".into());
+        roomy
+            .range(least..)
+            .filter_map(|(_, name)| {
+                let machine = self.machines.get(name)?;
+                let open = match epoch {
+                    Some(epoch) => machine.open(epoch, silence, now),
+                    None => machine.seems_open(),
+                };
+                let barred =
+                    kept.is_some_and(|d| *d.machine == **name) || (avoid && job.failed_on.contains(&**name));
+                if !open || barred || !need.allows(&machine.machine_type, &machine.zone, machine.spot) {
+                    return None;
+                }
+                let booked = machine.booked + reserved.get(name).copied().unwrap_or_default();
+                need.amounts.fits(&(machine.capacity - booked)).then(|| {
+                    let candidate = Candidate {
+                        capacity: machine.capacity,
+                        booked,
+                        image: has_image(machine, need),
+                        doubtful: !machine.failed_jobs.is_empty(),
+                    };
+                    (name.clone(), candidate)
+                })
+            })
+            .collect()
     }
 
-    fn place_job(&mut self, id: &Arc<str>, slots: &mut [Slot], most: usize, now: Instant) -> usize {
-        let Some(job) = self.open_job(id) else { return 0 };
-        if !job.is_open() {
-            return 0;
+    /// How long a worker may be silent before it takes no more work.
+    pub(super) fn silence(&self) -> std::time::Duration {
+        self.settings.report_every().mul_f64(1.5)
+    }
+
+    /// Places what waits in a block of this holder.
+    pub(super) fn place_in(&mut self, id: &Arc<str>, block: u32, round: &mut Round, now: Instant) {
+        let Some(job) = self.open_job(id).filter(|j| j.is_open()) else { return };
+        let waiting: Vec<u32> =
+            job.waiting.get(&block).map(|r| r.iter().take(round.left).collect()).unwrap_or_default();
+        // One that is still somewhere, against all records, waits.
+        let mut waiting: Vec<u32> = waiting
+            .into_iter()
+            .filter(|i| {
+                self.ghosts.is_empty() || !self.ghosts.contains_key(&TaskId { job: id.clone(), index: *i })
+            })
+            .collect();
+        if waiting.is_empty() {
+            return;
         }
-        let (need, team) = (job.need.clone(), job.spec.team.clone());
-        let (one_zone, spread, tasks) = (job.spec.one_zone, job.spec.spread, job.record.tasks);
-        let constrained = one_zone || spread;
-        let mut zones = if constrained { self.zones_of(job) } else { BTreeMap::new() };
-        let avoid = if job.failed_on.len() < 2 { job.failed_on.clone() } else { Default::default() };
-        // Kept for another job by a drain, or this job failed there.
-        let reserved = self.drain.as_ref().map(|(d, _)| d.clone());
-        let mut closed = Vec::new();
-        for (index, slot) in slots.iter_mut().enumerate().filter(|(_, s)| s.open) {
-            let kept = reserved.as_ref().is_some_and(|d| d.machine == slot.machine && *d.for_job != **id);
-            if kept || avoid.contains(&slot.machine) {
-                slot.open = false;
-                closed.push(index);
+        let before = waiting.len();
+        let need = job.need.clone();
+        if let Some((drain, _)) = self.drains.get(&block).cloned() {
+            // What a drain moves goes where the drain says, if it still fits.
+            for (_, index, _, to) in drain.moves.iter().filter(|(j, _, _, _)| *j == **id) {
+                let Some(position) = waiting.iter().position(|i| i == index) else { continue };
+                let to: Arc<str> = to.as_str().into();
+                let Some(job) = self.open_job(id) else { return };
+                let machines = self.candidates(id, job, block, &HashMap::new(), now);
+                if machines.iter().any(|(name, _)| *name == to) {
+                    waiting.remove(position);
+                    self.propose(&TaskId { job: id.clone(), index: *index }, &to, block, now);
+                }
             }
         }
-        let mut placed = 0;
-        let mut skipped = Vec::new();
-        while placed < most {
-            let Some(index) = self.open_job(id).and_then(OpenJob::next_waiting) else { break };
-            if !self.teams.get(&team).is_some_and(|b| b.admits(&need.amounts)) {
+        let constrained = job_is_constrained(self.open_job(id));
+        while !waiting.is_empty() {
+            let Some(job) = self.open_job(id) else { return };
+            let mut machines = self.candidates(id, job, block, &HashMap::new(), now);
+            if constrained {
+                let zones = self.zones_of(job);
+                machines.retain(|(name, _)| {
+                    self.machines.get(name).is_some_and(|m| zone_allows(job, &zones, &m.zone))
+                });
+            }
+            // With constraints on zones each task may change what the next may do.
+            let count = if constrained { 1 } else { waiting.len() as i64 };
+            let candidates: Vec<Candidate> = machines.iter().map(|(_, c)| *c).collect();
+            let chosen = best_fit(&candidates, &need.amounts, count);
+            if chosen.is_empty() {
                 break;
             }
-            let task = TaskId { job: id.clone(), index };
-            if self.ghosts.contains_key(&task) {
-                // It is still somewhere, against all records: it waits.
-                if let Some(job) = self.open_job_mut(id) {
-                    job.take(index);
+            let mut tasks = waiting.iter().copied();
+            let mut used = 0;
+            for (index, n) in chosen {
+                let machine = machines[index].0.clone();
+                for task in tasks.by_ref().take(n as usize) {
+                    self.propose(&TaskId { job: id.clone(), index: task }, &machine, block, now);
+                    used += 1;
                 }
-                skipped.push(index);
-                continue;
-            }
-            let zone_ok = |zone: &str| {
-                let here = zones.get(zone).copied().unwrap_or(0);
-                (!one_zone || zones.is_empty() || here > 0) && (!spread || here < tasks.div_ceil(2))
-            };
-            let pinned = reserved.as_ref().and_then(|d| {
-                let (_, _, _, to) = d.moves.iter().find(|(j, i, _, _)| **j == **id && *i == index)?;
-                let found = slots.iter().position(|s| s.machine == *to)?;
-                (slots[found].open && need.fits(&slots[found]) && zone_ok(&slots[found].zone))
-                    .then_some(found)
-            });
-            let Some(found) = pinned.or_else(|| best_fit(slots, &need, zone_ok)) else { break };
-            let slot = &mut slots[found];
-            slot.booked += need.amounts;
-            if let Some(image) = &need.image {
-                slot.images.entry(image.clone()).or_insert(false);
             }
-            if constrained {
-                *zones.entry(slot.zone.clone()).or_default() += 1;
+            waiting.drain(..used);
+            if !constrained {
+                break;
             }
-            let machine = slot.machine.clone();
-            self.propose(&task, &machine, now);
-            placed += 1;
         }
-        closed.into_iter().for_each(|index| slots[index].open = true);
-        if let Some(job) = self.open_job_mut(id) {
-            job.requeued.extend(skipped);
+        let placed = before - waiting.len();
+        if placed > 0 {
+            round.left = round.left.saturating_sub(placed);
+            self.rederive(id);
+            self.mark_dirty(id);
+        }
+    }
+
+    /// How many of a job's tasks each zone has.
+    fn zones_of(&self, job: &OpenJob) -> BTreeMap<String, u32> {
+        let mut zones = BTreeMap::new();
+        for placed in job.placed.values() {
+            if let Some(machine) = self.machines.get(&placed.machine) {
+                *zones.entry(machine.zone.clone()).or_default() += 1;
+            }
         }
-        self.refresh_waiting(id);
-        placed
+        zones
     }
 
-    /// Books a task on a machine until its record is committed or refused.
-    fn propose(&mut self, task: &TaskId, machine: &str, now: Instant) {
+    /// Books a task on a machine until its record is committed or refused; the
+    /// caller derives the job anew.
+    fn propose(&mut self, task: &TaskId, machine: &Arc<str>, block: u32, now: Instant) {
         let Some(session) = self.machines.get(machine).map(|m| m.session) else { return };
-        let Some(job) = self.open_job_mut(&task.job) else { return };
+        let Some(Job::Open(job)) = self.jobs.get_mut(&task.job) else { return };
         let attempt = job.next_attempt(task.index);
         let waited = now.saturating_duration_since(job.learned);
-        tracing::debug!(%task, class = job.spec.class, machine, attempt, ?waited, "placing");
-        job.take(task.index);
+        tracing::debug!(%task, class = job.spec.class, machine = &**machine, attempt, ?waited, "placing");
+        job.served = now;
         job.placed.insert(
             task.index,
             Placed {
                 attempt,
-                machine: machine.to_string(),
+                machine: machine.clone(),
+                block,
                 session,
                 committed: false,
                 since: now,
@@ -274,111 +365,25 @@
                 stop: None,
             },
         );
-        let (team, amounts) = (job.spec.team.clone(), job.need.amounts);
-        self.book(task, machine, &team, amounts, now);
-        self.dirty.insert(task.job.clone());
-        self.wakes.flush = true;
+        self.book(task, machine, block, now);
     }
+}
 
-    /// The committed tasks on the given slots.
-    pub(super) fn residents(
-        &self,
-        slots: &[Slot],
-        oldest: Duration,
-        now: Instant,
-    ) -> Vec<(TaskId, Resident)> {
-        let mut residents = Vec::new();
-        for (index, slot) in slots.iter().enumerate() {
-            let Some(machine) = self.machines.get(&slot.machine) else { continue };
-            for task in &machine.tasks {
-                let Some(job) = self.open_job(&task.job) else { continue };
-                let Some(placed) = job.placed.get(&task.index) else { continue };
-                // Time spent on fetching an image is lost with the task too.
-                let ran = now.saturating_duration_since(placed.since);
-                let ended = job.exits.contains_key(&task.index);
-                let young = ran <= oldest;
-                residents.push((
-                    task.clone(),
-                    Resident {
-                        slot: index,
-                        need: job.need.clone(),
-                        ran,
-                        movable: placed.committed && !ended && young && job.spec.kind == "sweep",
-                        leaving: placed.stop.is_some() || ended || !placed.committed,
-                        rank: job.rank(),
-                        beyond_guarantee: self
-                            .teams
-                            .get(&job.spec.team)
-                            .is_some_and(|b| b.beyond_guarantee()),
-                    },
-                ));
-            }
-        }
-        residents
-    }
+fn job_is_constrained(job: Option<&OpenJob>) -> bool {
+    job.is_some_and(|j| j.spec.one_zone || j.spec.spread)
+}
 
-    /// Stops work that has to give way to waiting work.
-    fn displace(&mut self, unplaced: &[(Arc<str>, Demand)], slots: &[Slot], now: Instant) {
-        if unplaced.is_empty() {
-            return;
-        }
-        let guaranteed = self.guaranteed();
-        let mut residents = self.residents(slots, Duration::MAX, now);
-        if residents.is_empty() {
-            return;
-        }
-        // What is on its way out counts as free already, so that nothing more
-        // is stopped for a task that will fit there.
-        let mut future: Vec<Slot> = slots.to_vec();
-        for (task, resident) in &residents {
-            let committed =
-                self.open_job(&task.job).and_then(|j| j.placed.get(&task.index)).is_some_and(|p| p.committed);
-            if resident.leaving && committed {
-                future[resident.slot].booked -= resident.need.amounts;
-            }
-        }
-        let mut left = MAX_DISPLACED;
-        for (id, demand) in unplaced {
-            let Some(job) = self.open_job(id) else { continue };
-            let within = guaranteed.get(id).copied().unwrap_or(false);
-            // Among ordinary work a guarantee is served first, but stops nothing:
-            // work that is stopped for it waits in its turn, and so on.
-            let urgent = job.spec.priority < Rank::Normal;
-            let claim = Claim { rank: job.rank(), within_guarantee: within && urgent };
-            let need: Need = demand.need.clone();
-            for _ in 0..demand.count {
-                if left == 0 {
-                    return;
-                }
-                if let Some(found) = best_fit(&future, &need, |_| true) {
-                    future[found].booked += need.amounts;
-                    continue;
-                }
-                let pool: Vec<Resident> = residents.iter().map(|(_, r)| r.clone()).collect();
-                let limit = self.options.preempt_limit;
-                let Some(found) = pick_victims(&future, &pool, &need, claim, |_| true, limit) else { break };
-                for &victim in &found.residents {
-                    let (task, resident) = &mut residents[victim];
-                    resident.leaving = true;
-                    future[found.slot].booked -= resident.need.amounts;
-                    left = left.saturating_sub(1);
-                    tracing::info!(task = %task, for_job = %id, ?claim, ran = ?resident.ran, "a task gives way");
-                    let task = task.clone();
-                    self.stop(&task, Stop::Preempted);
-                }
-                future[found.slot].booked += need.amounts;
-            }
-        }
-    }
+/// Whether a job's constraints on zones let another of its tasks go to one.
+fn zone_allows(job: &OpenJob, zones: &BTreeMap<String, u32>, zone: &str) -> bool {
+    let here = zones.get(zone).copied().unwrap_or(0);
+    (!job.spec.one_zone || zones.is_empty() || here > 0)
+        && (!job.spec.spread || here < job.record.tasks.div_ceil(2))
+}
 
-    /// Asks for a task's end.
-    pub(super) fn stop(&mut self, task: &TaskId, why: Stop) {
-        let Some(job) = self.open_job_mut(&task.job) else { return };
-        let Some(placed) = job.placed.get_mut(&task.index).filter(|p| p.committed) else { return };
-        if placed.stop.is_none() {
-            placed.stop = Some(why);
-            let machine = placed.machine.clone();
-            self.wakes.command.insert(machine);
-        }
+fn has_image(machine: &Machine, need: &Need) -> HasImage {
+    match need.image.as_ref().map(|image| machine.image(image)) {
+        None | Some(Some(true)) => HasImage::Yes,
+        Some(Some(false)) => HasImage::Fetching,
+        Some(None) => HasImage::No,
     }
 }
--- /dev/null
+++ b/crates/dapplecroft-controller/src/core/roles.rs
@@ -0,0 +1,140 @@
+//! Leadership, and how long this process may act without a confirmation.
+
+use super::{Core, fleet};
+use crate::jobs::Job;
+use crate::records;
+use dapplecroft_wire::state::Condition;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+impl Core {
+    /// Notes a confirmation of this node's role: sent when, at which revision.
+    /// It counts once all changes up to that revision are known, so that a
+    /// holder in contact has heard of every cancellation before it.
+    pub fn confirmed(&mut self, sent: Instant, revision: u64) {
+        if revision <= self.followed {
+            self.role.contact = self.role.contact.max(Some(sent));
+        } else if self.role.pending.len() < 64 {
+            self.role.pending.push_back((sent, revision));
+        }
+    }
+
+    /// The conditions that confirm this process's role: the leader's key and
+    /// its blocks are unchanged.
+    pub fn role_conditions(&self) -> Vec<Condition> {
+        let leader = self.role.leadership.map(|version| Condition { key: records::LEADER.into(), version });
+        let blocks = self.role.holdings.iter();
+        leader
+            .into_iter()
+            .chain(blocks.map(|(n, h)| Condition { key: records::block_key(*n), version: h.version }))
+            .collect()
+    }
+
+    /// Takes note that a key of this process's role is no longer what it was.
+    pub fn role_lost(&mut self, key: &str, now: Instant) {
+        match records::Key::parse(key) {
+            Some(records::Key::Leader) => self.resign("replaced", now),
+            Some(records::Key::Block(block)) => self.lose_block(block, "leased to another", now),
+            _ => {}
+        }
+    }
+
+    /// Takes note of having become leader.
+    pub fn lead(&mut self, version: u64) {
+        self.role.leadership = Some(version);
+        self.fleet = fleet::FleetState::default();
+        self.wakes.role = true;
+    }
+
+    /// As leader, begins its work once all that earlier leaders committed is
+    /// known: nothing of theirs can be committed any more, since every such
+    /// commit names their key's version.
+    pub fn begin_to_lead(&mut self, now: Instant) {
+        let ready = self.role.leadership.is_some_and(|l| l <= self.followed);
+        if ready && !self.fleet.ready() {
+            self.fleet.begin(now);
+            let open: Vec<Arc<str>> = self.open.iter().cloned().collect();
+            for id in open {
+                self.finish_if_over(&id);
+            }
+            self.wakes.place = true;
+            self.wakes.fleet = true;
+        }
+    }
+
+    /// Gives up leadership. Blocks stay with their holder: the next leader
+    /// finds them in their records.
+    pub fn resign(&mut self, why: &str, _now: Instant) {
+        if self.role.leadership.take().is_some() {
+            tracing::info!(why, "no longer leader");
+        }
+        self.wakes.role = true;
+        // Admissions that are on their way are settled by their commits, which
+        // name the leader's key; the others are void.
+        let jobs: Vec<Arc<str>> = self.open.iter().cloned().collect();
+        for id in jobs {
+            let Some(Job::Open(job)) = self.jobs.get_mut(&id) else { continue };
+            if job.committing.is_none() && !(job.admitting.is_empty() && job.revoking.is_empty()) {
+                job.admitting.clear();
+                job.revoking.clear();
+                self.drop_proposals(&id, None);
+            }
+        }
+        self.fleet = fleet::FleetState::default();
+        self.unplaced.clear();
+    }
+
+    /// Gives up everything that hangs on this process's lease.
+    pub fn step_down(&mut self, why: &str, now: Instant) {
+        self.resign(why, now);
+        let blocks: Vec<u32> = self.role.holdings.keys().copied().collect();
+        for block in blocks {
+            self.lose_block(block, why, now);
+        }
+        self.role.contact = None;
+        self.role.pending.clear();
+    }
+
+    /// The longest time that this process acts without a confirmation: its
+    /// leases' term, or less if a cancellation that it has not heard of asks
+    /// for it.
+    pub fn contact_limit(&self) -> Duration {
+        self.settings.contact_limit().min(self.options.block_lease)
+    }
+
+    /// Whether this process may act under its leases now.
+    pub fn in_contact(&self, now: Instant) -> bool {
+        self.role.contact.is_some_and(|at| now.saturating_duration_since(at) <= self.contact_limit())
+    }
+
+    /// Whether this process leads, knows what its predecessors did, and may act.
+    pub fn leads(&self, now: Instant) -> bool {
+        self.role.leadership.is_some() && self.fleet.ready() && self.in_contact(now)
+    }
+
+    /// The leader's node, if it is another one and up.
+    pub fn leader_host(&self) -> Option<&str> {
+        let (leader, _) = self.leader.as_ref()?;
+        let live = self.live.get(&leader.host).is_some_and(|l| l.identity == leader.identity);
+        (live && leader.identity != self.identity).then_some(leader.host.as_str())
+    }
+
+    /// Whether this process is leader or holder.
+    pub fn has_role(&self) -> bool {
+        self.role.leadership.is_some() || !self.role.holdings.is_empty()
+    }
+
+    /// This node's part of the state service's writes: users write at every
+    /// node, the leader a little more, and placements go with the blocks.
+    pub fn write_share(&self) -> f64 {
+        let nodes = f64::from(self.settings.params.nodes.max(1));
+        let sizes = self.block_sizes();
+        let all: usize = sizes.values().sum();
+        let own: usize = self.role.holdings.keys().filter_map(|b| sizes.get(b)).sum();
+        let held = match all {
+            0 => f64::from(u8::from(self.role.leadership.is_some())),
+            _ => own as f64 / all as f64,
+        };
+        0.45 / nodes + 0.11 * f64::from(u8::from(self.role.leadership.is_some())) + 0.44 * held
+    }
+}
--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -5,6 +5,7 @@
 use crate::machines::Machine;
 use dapplecroft_wire::workers::{DirectOrders, ExitReason, Order, Orders, Report, TaskState};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Most commands in one message, far under the limit of a line.
@@ -24,50 +25,55 @@
 impl Core {
     /// Answers a report.
     pub fn hello(&mut self, report: &Report, now: Instant) -> HelloAnswer {
-        let Some(holding) = self.holding(now) else {
+        let id = report.machine.as_str();
+        if !self.loaded || self.gone.contains_key(id) {
+            // If its release was answered, this is a late copy of a message.
+            return HelloAnswer::Unavailable;
+        }
+        let Some(machine) = self.machines.get(id).filter(|m| m.group.is_some()) else {
+            // A record names every machine before it is used, so one without is
+            // for the leader to take in.
+            if self.leads(now) && !self.is_expected(id) {
+                self.found(report, now);
+            }
+            return match self.leader_host() {
+                Some(host) => HelloAnswer::Redirect(Some(host.to_string())),
+                None => HelloAnswer::Unavailable,
+            };
+        };
+        let block = machine.block;
+        let Some(holding) = self.holding(block, now) else {
             // A holder that has lost the state service stops answering, so that
             // its workers' leases end before a cancellation's limit.
-            return match self.holder_host() {
-                _ if self.is_holder() => HelloAnswer::Unavailable,
+            return match self.holder_host(block) {
+                _ if self.is_holder(block) => HelloAnswer::Unavailable,
                 Some(host) => HelloAnswer::Redirect(Some(host.to_string())),
                 None => HelloAnswer::Unavailable,
             };
         };
-        if self.gone.contains_key(&report.machine) {
-            // Its release was answered, so this is a late copy of a message.
-            return HelloAnswer::Unavailable;
-        }
-        let token = self.machines.get(&report.machine).map_or(0, |m| m.token(holding.epoch));
-        if token > 0 && report.token > token || report.token >> 20 > holding.epoch {
+        let token = machine.token(holding.epoch);
+        if report.token > token {
             // Someone with a newer lease commands this worker.
-            tracing::info!(machine = report.machine, "a worker knows a newer token than this holder's");
+            tracing::info!(machine = id, "a worker knows a newer token than this holder's");
             return HelloAnswer::Redirect(None);
         }
         self.take_report(report, now);
-        let Some(machine) = self.machines.get(&report.machine) else { return HelloAnswer::Unavailable };
+        let Some(machine) = self.machines.get(id) else { return HelloAnswer::Unavailable };
         let token = machine.token(holding.epoch);
-        let id = report.machine.clone();
         // Only the worker's newest message is answered with commands.
         let newest = (machine.session, machine.sequence) == (report.session, report.sequence);
-        let orders = if newest { self.orders(&id, true, now) } else { Vec::new() };
-        self.note_sent(&id, &orders, token);
+        let orders = if newest { self.orders(id, true, now) } else { Vec::new() };
+        self.note_sent(id, &orders, token);
         HelloAnswer::Orders(Orders { token, orders })
     }
 
     /// Takes over a report, however it came. Late copies are ignored.
     pub fn take_report(&mut self, report: &Report, now: Instant) {
-        let Some(holding) = self.role.holding else { return };
-        if self.gone.contains_key(&report.machine) {
-            return;
-        }
-        let known = self.machines.contains_key(&report.machine);
-        let machine = self.machines.entry(report.machine.clone()).or_insert_with(|| {
-            Machine::new(&report.machine, &report.machine_type, &report.zone, report.spot, now)
-        });
-        if !known {
-            tracing::info!(machine = report.machine, "a machine that nobody expected is taken in");
-        }
-        if (report.session, report.sequence) <= (machine.session, machine.sequence) {
+        let Some(machine) = self.machines.get_mut(report.machine.as_str()) else { return };
+        let Some(holding) = self.role.holdings.get(&machine.block).copied() else { return };
+        if self.gone.contains_key(&machine.id)
+            || (report.session, report.sequence) <= (machine.session, machine.sequence)
+        {
             return;
         }
         let first = machine.heard.is_none();
@@ -83,7 +89,9 @@
         machine.spot = report.spot;
         if machine.address.as_deref() != Some(report.address.as_str()) {
             machine.address = Some(report.address.clone());
-            machine.recorded = machine.recorded.map(|(version, _)| (version, false));
+            if let Some(group) = machine.group.as_ref().and_then(|g| self.groups.get_mut(g)) {
+                group.behind = true;
+            }
         }
         let taken_at = report
             .notice_s
@@ -108,24 +116,25 @@
         if first {
             self.wakes.fleet = true;
         }
-        self.take_proof(&report.machine, synced, now);
+        let id = machine.id.clone();
+        self.take_proof(&id, synced, now);
         if noticed {
-            self.notice(&report.machine, now);
+            self.notice(&id, now);
         }
-        self.wakes.command.insert(report.machine.clone());
+        self.wakes.command.insert(id);
     }
 
     /// Works out what a machine's newest message proves.
-    fn take_proof(&mut self, id: &str, synced: bool, now: Instant) {
+    fn take_proof(&mut self, id: &Arc<str>, synced: bool, now: Instant) {
         let Some(machine) = self.machines.get(id) else { return };
-        let Some(holding) = self.role.holding else { return };
+        let Some(holding) = self.role.holdings.get(&machine.block).copied() else { return };
         let token = machine.token(holding.epoch);
         let session = machine.session;
         let mut ends = Vec::new();
         let mut raise = false;
         for task in &machine.tasks {
             let Some(Job::Open(job)) = self.jobs.get_mut(&task.job) else { continue };
-            let Some(placed) = job.placed.get_mut(&task.index).filter(|p| p.committed && p.machine == id)
+            let Some(placed) = job.placed.get_mut(&task.index).filter(|p| p.committed && p.machine == *id)
             else {
                 continue;
             };
@@ -145,7 +154,7 @@
                 Some(report) if report.state == TaskState::Running => {
                     if placed.running.is_none() {
                         let fetched = now.saturating_duration_since(placed.since);
-                        tracing::debug!(%task, class = job.spec.class, machine = id, ?fetched, "running");
+                        tracing::debug!(%task, class = job.spec.class, machine = &**id, ?fetched, "running");
                     }
                     placed.running.get_or_insert(now);
                 }
@@ -173,16 +182,16 @@
         self.ghosts.retain(|_, on| on != id);
         let Some(machine) = self.machines.get_mut(id) else { return };
         for image in ran {
-            machine.images.insert(image, true);
+            machine.note_image(image, true);
         }
         for (task, report) in &machine.reported {
             if report.state != TaskState::Exited && !machine.tasks.contains(task) {
-                self.ghosts.insert(task.clone(), id.to_string());
+                self.ghosts.insert(task.clone(), id.clone());
             }
         }
         if raise {
             machine.raise_token();
-            self.wakes.command.insert(id.to_string());
+            self.wakes.command.insert(id.clone());
         }
         for (task, attempt, why) in ends {
             self.end(&task, attempt, why, id, now);
@@ -208,7 +217,7 @@
                 let alone = job.failed_on.len() < 2;
                 let machines: Vec<String> = job.failed_on.iter().cloned().collect();
                 for name in machines {
-                    if let Some(machine) = self.machines.get_mut(&name) {
+                    if let Some(machine) = self.machines.get_mut(name.as_str()) {
                         if alone {
                             machine.failed_jobs.insert(task.job.clone());
                         } else {
@@ -227,22 +236,18 @@
             }
             _ => {}
         }
-        self.dirty.insert(task.job.clone());
-        self.wakes.flush = true;
+        self.note_ends(&task.job, now);
     }
 
     /// Ends everything on a machine whose release was answered: it is gone.
-    pub fn machine_gone(&mut self, id: &str, now: Instant) {
-        self.gone.entry(id.to_string()).or_insert(now);
+    pub fn machine_gone(&mut self, id: &Arc<str>, now: Instant) {
+        self.gone.entry(id.clone()).or_insert(now);
         self.ghosts.retain(|_, on| on != id);
         let Some(machine) = self.machines.get(id) else { return };
         for task in machine.tasks.clone() {
-            let attempt = self
-                .open_job(&task.job)
-                .and_then(|j| j.placed.get(&task.index))
-                .filter(|p| p.committed && p.machine == id)
-                .map(|p| p.attempt);
-            if let Some(attempt) = attempt {
+            let placed = self.open_job(&task.job).and_then(|j| j.placed.get(&task.index));
+            let own = placed.filter(|p| p.committed && p.machine == *id && self.is_holder(p.block));
+            if let Some(attempt) = own.map(|p| p.attempt) {
                 self.end(&task, attempt, None, id, now);
             }
         }
@@ -250,11 +255,11 @@
     }
 
     /// The cloud takes a machine soon: tasks that can't finish before are moved.
-    fn notice(&mut self, id: &str, now: Instant) {
+    fn notice(&mut self, id: &Arc<str>, now: Instant) {
         let Some(machine) = self.machines.get(id) else { return };
         let Some(taken_at) = machine.taken_at else { return };
         let left = taken_at.saturating_duration_since(now).as_secs_f64();
-        tracing::info!(machine = id, left, tasks = machine.tasks.len(), "the cloud takes a machine back");
+        tracing::info!(machine = &**id, left, tasks = machine.tasks.len(), "the cloud takes a machine back");
         for task in machine.tasks.clone() {
             let Some(job) = self.open_job_mut(&task.job) else { continue };
             let estimate = job.spec.estimate_s;
@@ -272,16 +277,15 @@
     /// last reported. `clear` is only told in the answer to a report: it is the
     /// one command that must not be overtaken by a repeated start.
     fn orders(&self, id: &str, in_answer: bool, now: Instant) -> Vec<Order> {
-        let (Some(machine), Some(holding)) = (self.machines.get(id), self.role.holding) else {
-            return Vec::new();
-        };
+        let Some(machine) = self.machines.get(id) else { return Vec::new() };
+        let Some(holding) = self.role.holdings.get(&machine.block).copied() else { return Vec::new() };
         let synced = machine.synced(holding.epoch);
         let mut orders = Vec::new();
         for (task, report) in &machine.reported {
             let own = self
                 .open_job(&task.job)
                 .and_then(|j| j.placed.get(&task.index))
-                .filter(|p| p.committed && p.machine == id && p.attempt == report.attempt);
+                .filter(|p| p.committed && *p.machine == *id && p.attempt == report.attempt);
             match (own, report.state) {
                 (None, TaskState::Exited) if in_answer && synced && !machine.commanding => {
                     orders.push(Order::Clear { task: report.task.clone(), attempt: report.attempt });
@@ -310,7 +314,7 @@
         for task in &machine.tasks {
             let Some(job) = self.open_job(&task.job) else { continue };
             let Some(placed) = job.placed.get(&task.index) else { continue };
-            let here = placed.committed && placed.machine == id && placed.session == machine.session;
+            let here = placed.committed && *placed.machine == *id && placed.session == machine.session;
             // Under another attempt it is still to be cleared there first.
             let listed = machine.reported.contains_key(task);
             if here && placed.stop.is_none() && !listed && !job.exits.contains_key(&task.index) {
@@ -346,15 +350,15 @@
                 }
             }
             if let (Some(image), Some(machine)) = (image, self.machines.get_mut(id)) {
-                machine.images.entry(image).or_insert(false);
+                machine.note_image(image, false);
             }
         }
     }
 
     /// Direct commands that a machine should receive now, with its address.
     pub fn next_command(&mut self, id: &str, now: Instant) -> Option<(String, DirectOrders)> {
-        let holding = self.holding(now)?;
         let machine = self.machines.get(id)?;
+        let holding = self.holding(machine.block, now)?;
         let unknown = machine.session == 0 || machine.commanding || machine.releasing;
         if unknown || machine.command_after.is_some_and(|at| at > now) {
             return None;
@@ -377,8 +381,8 @@
     /// Notes what became of direct commands: answered, with the worker's report
     /// if it could be read; certainly not delivered; or unknown.
     pub fn command_ended(&mut self, id: &str, sent: &DirectOrders, end: CommandEnd<'_>, now: Instant) {
-        let Some(holding) = self.role.holding else { return };
         let Some(machine) = self.machines.get_mut(id) else { return };
+        let Some(holding) = self.role.holdings.get(&machine.block).copied() else { return };
         if machine.token(holding.epoch) >> 20 != sent.token >> 20 {
             return;
         }
@@ -387,7 +391,7 @@
             CommandEnd::Answered(report) => {
                 // Refused for a newer token: whoever holds that is in command.
                 machine.command_after = (report.token > sent.token).then(|| now + Duration::from_secs(1));
-                if report.machine == id {
+                if report.machine == *id {
                     self.take_report(report, now);
                 }
             }
@@ -400,7 +404,7 @@
                 tracing::debug!(machine = id, "outcome of commands unknown, token raised");
             }
         }
-        self.wakes.command.insert(id.to_string());
+        self.wakes.command.insert(id.into());
     }
 }
 
--- a/crates/dapplecroft-controller/src/jobs.rs
+++ b/crates/dapplecroft-controller/src/jobs.rs
@@ -1,5 +1,6 @@
 //! Jobs as the records say, with what a block holder knows besides.
 
+use crate::ranges::Ranges;
 use crate::records::{ChunkRecord, JobRecord, JobStage};
 use dapplecroft_sched::{Amounts, Need};
 use dapplecroft_wire::users::{JobSpec, JobStatus, Rank, Stage};
@@ -50,7 +51,9 @@
     /// The attempt.
     pub attempt: u64,
     /// The machine.
-    pub machine: String,
+    pub machine: Arc<str>,
+    /// The machine's block.
+    pub block: u32,
     /// The worker's session that it was placed in.
     pub session: u64,
     /// Whether the record is committed; nothing is commanded before.
@@ -85,18 +88,30 @@
     pub spec: JobSpec,
     /// What each task needs.
     pub need: Need,
-    /// Chunks with their versions.
-    pub chunks: BTreeMap<u32, (ChunkRecord, u64)>,
+    /// Chunks by number and block, with their versions.
+    pub chunks: BTreeMap<(u32, u32), (ChunkRecord, u64)>,
     /// Tasks on machines or proposed.
     pub placed: BTreeMap<u32, Placed>,
-    /// Tasks that never ran start here.
-    pub fresh: u32,
-    /// Tasks below `fresh` that wait.
-    pub requeued: BTreeSet<u32>,
+    /// Completed tasks.
+    pub done: Ranges,
+    /// Tasks that no block has, nor is being given.
+    pub unadmitted: Ranges,
+    /// Tasks that wait in each block that they are admitted to, or will be.
+    pub waiting: BTreeMap<u32, Ranges>,
+    /// Admissions by this leader that are not committed yet.
+    pub admitting: BTreeMap<u32, Ranges>,
+    /// Waiting tasks that this leader takes back, not committed yet.
+    pub revoking: BTreeMap<u32, Ranges>,
+    /// Since when which task has been the first to wait in a block.
+    pub stalled: BTreeMap<u32, (Instant, u32)>,
+    /// How many tasks are counted against the team.
+    pub counted: i64,
+    /// When a task was last placed, or the job learned of.
+    pub served: Instant,
     /// Ends that are not committed yet.
     pub exits: BTreeMap<u32, Exit>,
-    /// Whether a unit of this job is on its way.
-    pub committing: bool,
+    /// The unit of this job that is on its way.
+    pub committing: Option<u64>,
     /// Machines on which its tasks failed since one last completed.
     pub failed_on: BTreeSet<String>,
     /// Failures since a task last completed.
@@ -139,26 +154,71 @@
             need,
             chunks: BTreeMap::new(),
             placed: BTreeMap::new(),
-            fresh: 0,
-            requeued: BTreeSet::new(),
+            done: Ranges::default(),
+            unadmitted: Ranges::default(),
+            waiting: BTreeMap::new(),
+            admitting: BTreeMap::new(),
+            revoking: BTreeMap::new(),
+            stalled: BTreeMap::new(),
+            counted: 0,
+            served: now,
             exits: BTreeMap::new(),
-            committing: false,
+            committing: None,
             failed_on: BTreeSet::new(),
             failures: 0,
             not_before: None,
             learned: now,
         };
-        job.take_full_chunks();
+        job.derive();
         Some(job)
     }
 
-    /// Marks the tasks of full chunks as taken.
-    pub fn take_full_chunks(&mut self) {
-        for chunk in self.record.full.iter().collect::<Vec<_>>() {
-            for index in self.indices(chunk) {
-                self.take(index);
+    /// Works out, from records and proposals, which tasks are done and which
+    /// wait where.
+    pub fn derive(&mut self) {
+        let mut done = self.record.folded.clone();
+        for (chunk, _) in self.chunks.values() {
+            if !chunk.done.is_empty() {
+                done = done.union(&chunk.done);
+            }
+        }
+        self.done = done;
+        self.waiting.clear();
+        self.unadmitted = Ranges::default();
+        if !self.is_open() {
+            return;
+        }
+        let taken = self.done.union(&Ranges::ascending(self.placed.keys().copied()));
+        let mut admitted = self.done.clone();
+        let blocks: BTreeSet<u32> =
+            self.record.admitted.keys().chain(self.admitting.keys()).copied().collect();
+        for block in blocks {
+            let mut own = self.record.admitted.get(&block).cloned().unwrap_or_default();
+            if let Some(more) = self.admitting.get(&block) {
+                own = own.union(more);
+            }
+            admitted = admitted.union(&own);
+            let mut waiting = own.without(&taken);
+            if let Some(less) = self.revoking.get(&block) {
+                waiting = waiting.without(less);
+            }
+            if !waiting.is_empty() {
+                self.waiting.insert(block, waiting);
             }
         }
+        self.unadmitted = Ranges::below(self.record.tasks).without(&admitted);
+    }
+
+    /// How many tasks count against the team: all that are admitted and not
+    /// done, since a holder may have them running; of a withdrawn job, those
+    /// not proven to have left their machines.
+    pub fn counts(&self) -> i64 {
+        if self.is_open() {
+            let free = self.done.len() + self.unadmitted.len();
+            i64::from(self.record.tasks.saturating_sub(free))
+        } else {
+            self.placed.values().filter(|p| p.committed).count() as i64
+        }
     }
 
     /// The indices that belong to a chunk.
@@ -173,24 +233,19 @@
         index / self.record.chunk.max(1)
     }
 
-    /// Takes a task out of the waiting ones.
-    pub fn take(&mut self, index: u32) {
-        if index >= self.fresh {
-            self.requeued.extend(self.fresh..index);
-            self.fresh = index + 1;
-        } else {
-            self.requeued.remove(&index);
-        }
+    /// How many tasks wait in a block.
+    pub fn waiting_in(&self, block: u32) -> u32 {
+        self.waiting.get(&block).map_or(0, Ranges::len)
     }
 
-    /// The next waiting task.
-    pub fn next_waiting(&self) -> Option<u32> {
-        self.requeued.first().copied().or((self.fresh < self.record.tasks).then_some(self.fresh))
+    /// Whether any task waits anywhere.
+    pub fn waits(&self) -> bool {
+        !self.unadmitted.is_empty() || !self.waiting.is_empty()
     }
 
-    /// How many tasks wait.
-    pub fn waiting(&self) -> u32 {
-        self.requeued.len() as u32 + (self.record.tasks - self.fresh)
+    /// Tasks that are not done.
+    pub fn left(&self) -> u32 {
+        self.record.tasks.saturating_sub(self.done.len())
     }
 
     /// Whether tasks may be placed.
@@ -198,16 +253,11 @@
         self.record.stage == JobStage::Open
     }
 
-    /// Completed tasks.
-    pub fn done(&self) -> u32 {
-        let full: u32 = self.record.full.iter().map(|c| self.indices(c).len() as u32).sum();
-        full + self.chunks.values().map(|(c, _)| c.done.len()).sum::<u32>()
-    }
-
     /// The next attempt of a task.
     pub fn next_attempt(&self, index: u32) -> u64 {
-        let chunk = self.chunks.get(&self.chunk_of(index));
-        chunk.and_then(|(c, _)| c.tries.get(&index)).copied().unwrap_or(0) + 1
+        let chunk = self.chunk_of(index);
+        let tries = self.chunks.range((chunk, 0)..=(chunk, u32::MAX));
+        tries.filter_map(|(_, (c, _))| c.tries.get(&index)).copied().max().unwrap_or(0) + 1
     }
 
     /// The number by which ranks are ordered.
@@ -240,7 +290,7 @@
             JobStage::Open if running > 0 => Stage::Running,
             JobStage::Open => Stage::Queued,
         };
-        JobStatus { id: id.to_string(), stage, done: Some(self.done()), running: Some(running) }
+        JobStatus { id: id.to_string(), stage, done: Some(self.done.len()), running: Some(running) }
     }
 }
 
--- a/crates/dapplecroft-controller/src/lib.rs
+++ b/crates/dapplecroft-controller/src/lib.rs
@@ -13,6 +13,7 @@
 mod node;
 mod options;
 mod peers;
+pub mod ranges;
 pub mod records;
 mod users;
 
--- a/crates/dapplecroft-controller/src/loops/election.rs
+++ b/crates/dapplecroft-controller/src/loops/election.rs
@@ -1,8 +1,7 @@
-//! Liveness, the election of the leader, and the lease of the block.
+//! Liveness, the election of the leader, and the leases of blocks.
 
-use crate::core::Holding;
 use crate::node::{Node, lock, now};
-use crate::records::{self, BlockRecord, LeaderRecord, LiveRecord};
+use crate::records::{self, LeaderRecord, LiveRecord};
 use dapplecroft_net::Outcome;
 use dapplecroft_state::Verdicts;
 use dapplecroft_wire::state::{Change, Condition, Transaction};
@@ -33,7 +32,8 @@
                     touch_at = now() + if ok { beat } else { beat / 4 };
                 }
                 self.stand(&mut random).await;
-                self.take_block().await;
+                self.take_up().await;
+                self.lease_blocks().await;
             }
             let wait = touch_at.saturating_duration_since(now()).max(Duration::from_millis(5));
             let _ = timeout(wait, self.wake_role.notified()).await;
@@ -49,7 +49,7 @@
         match self.state.touch(lease).await {
             Outcome::Done(true) => {
                 *lock(&self.touched) = Some(sent);
-                self.set_rates(self.with(|core| core.role.leadership.is_some()));
+                self.set_rates();
                 self.confirm().await;
                 true
             }
@@ -57,7 +57,7 @@
                 tracing::info!("lease ended");
                 self.with(|core| {
                     core.role.lease = None;
-                    core.resign("lease ended");
+                    core.step_down("lease ended", now());
                 });
                 false
             }
@@ -69,6 +69,9 @@
     }
 
     async fn enter(&self) -> bool {
+        if self.with(|core| core.role.abstains.is_some_and(|until| now() < until)) {
+            return false;
+        }
         let host = &self.settings.host_name;
         // A key of the same name belongs to a process that this one replaces:
         // there is one at a time, so it has ended and its lease can go at once.
@@ -112,10 +115,10 @@
         if let Some(version) = own {
             tracing::info!(term = version, "elected leader");
             self.with(|core| core.lead(version));
-            self.set_rates(true);
+            self.set_rates();
             return;
         }
-        if self.with(vacant).is_none() || self.consulting.load(Ordering::Relaxed) {
+        if self.with(vacant).is_none() {
             return;
         }
         // Not all at once: whoever is first saves the others the attempt.
@@ -138,7 +141,7 @@
                     core.apply_changes(&transaction.changes, revision, now());
                     core.lead(revision);
                 });
-                self.set_rates(true);
+                self.set_rates();
             }
             Outcome::Done(Verdicts::Conflict(_)) => {
                 self.refresh(records::LEADER, || true).await;
@@ -151,80 +154,84 @@
         }
     }
 
-    /// As leader, leases the block to this process once all that earlier
-    /// leaders committed is known: nothing of theirs can be committed any more,
-    /// since every such commit names their key's version.
-    async fn take_block(&self) {
-        let ready = self.with(|core| {
-            let leadership = core.role.leadership?;
-            let wanted = core.role.holding.is_none() && core.followed >= leadership;
-            wanted.then(|| {
-                let (epoch, version) = core.block.as_ref().map_or((0, 0), |(b, v)| (b.epoch, *v));
-                (leadership, epoch, version, core.identity.clone())
-            })
+    /// Takes up what was won or leased to this process, once its copy of the
+    /// records has caught up, and has it confirmed at once.
+    async fn take_up(&self) {
+        let changed = self.with(|core| {
+            let before = (core.role.holdings.len(), core.leads(now()));
+            core.begin_to_lead(now());
+            core.take_blocks(now());
+            core.role.contact.is_none() && core.has_role()
+                || before != (core.role.holdings.len(), core.leads(now()))
         });
-        let Some((leadership, old_epoch, version, identity)) = ready else { return };
-        // The epoch comes from a revision of the state service, and only grows.
-        let epoch = (old_epoch + 1).max(leadership);
-        let record = BlockRecord { host: self.settings.host_name.clone(), identity, epoch };
-        let transaction = Transaction {
-            conditions: vec![
-                Condition { key: records::LEADER.into(), version: leadership },
-                Condition { key: records::BLOCK.into(), version },
-            ],
-            changes: vec![Change::Set { key: records::BLOCK.into(), value: value(&record), lease: None }],
-        };
-        let sent = now();
+        if changed {
+            self.set_rates();
+            self.confirm().await;
+        }
+    }
+
+    /// As leader, leases blocks that nobody holds, and evens out the others.
+    async fn lease_blocks(&self) {
+        let (leases, transaction) = self.with(|core| {
+            let leases = core.wanted_leases();
+            let transaction = core.lease_transaction(&leases);
+            (leases, transaction)
+        });
+        let Some(transaction) = transaction else { return };
         match self.state.transact(&transaction, true).await {
             Outcome::Done(Verdicts::Committed(revision)) => {
-                tracing::info!(epoch, "block leased");
-                self.with(|core| {
-                    core.apply_changes(&transaction.changes, revision, now());
-                    core.hold(Holding { epoch, version: revision }, now());
-                    core.confirmed(sent, revision);
-                });
+                let given: Vec<(u32, &str)> =
+                    leases.iter().map(|l| (l.block, l.record.host.as_str())).collect();
+                tracing::info!(?given, "blocks leased");
+                self.with(|core| core.apply_changes(&transaction.changes, revision, now()));
+                self.wake_role.notify_one();
             }
             Outcome::Done(Verdicts::Conflict(failed)) => {
                 for key in failed {
                     self.refresh(&key, || true).await;
                 }
             }
-            Outcome::Refused(_) | Outcome::Unknown(_) => {
-                sleep(Duration::from_millis(200)).await;
-                self.refresh(records::BLOCK, || true).await;
-            }
+            // If it is carried out all the same, the records say so.
+            Outcome::Refused(_) | Outcome::Unknown(_) => sleep(Duration::from_millis(200)).await,
         }
     }
 
-    /// As holder, asks whether leadership and block are still this process's.
+    /// As leader or holder, asks whether all that is still this process's.
     async fn confirm(&self) {
-        let Some(conditions) = self.with(|core| core.role_conditions()) else { return };
+        let conditions = self.with(|core| core.role_conditions());
         let sent: Instant = now();
-        let transaction = Transaction { conditions, changes: Vec::new() };
-        match self.state.transact(&transaction, true).await {
-            Outcome::Done(Verdicts::Committed(revision)) => {
-                self.with(|core| core.confirmed(sent, revision));
-            }
-            Outcome::Done(Verdicts::Conflict(failed)) => {
-                tracing::info!(?failed, "leadership lost");
-                self.with(|core| core.resign("replaced"));
-                for key in failed {
-                    self.refresh(&key, || true).await;
+        let most = 4 * self.settings.params.state.txn_ops;
+        let mut confirmed = None;
+        for part in conditions.chunks(most) {
+            let transaction = Transaction { conditions: part.to_vec(), changes: Vec::new() };
+            match self.state.transact(&transaction, true).await {
+                Outcome::Done(Verdicts::Committed(revision)) => confirmed = confirmed.max(Some(revision)),
+                Outcome::Done(Verdicts::Conflict(failed)) => {
+                    tracing::info!(?failed, "not this process's any more");
+                    self.with(|core| failed.iter().for_each(|key| core.role_lost(key, now())));
+                    for key in failed {
+                        self.refresh(&key, || true).await;
+                    }
+                    self.wake_role.notify_one();
+                    return;
+                }
+                Outcome::Refused(error) | Outcome::Unknown(error) => {
+                    tracing::debug!(error, "role not confirmed");
+                    return;
                 }
             }
-            Outcome::Refused(error) | Outcome::Unknown(error) => {
-                tracing::debug!(error, "leadership not confirmed");
-            }
+        }
+        if let Some(revision) = confirmed {
+            self.with(|core| core.confirmed(sent, revision));
         }
     }
 
-    /// The leader writes most; the others only what users ask of them.
-    pub(crate) fn set_rates(&self, leader: bool) {
+    /// Placements go with the blocks; all nodes write what users ask of them.
+    pub(crate) fn set_rates(&self) {
         let params = &self.settings.params;
-        let others = f64::from(params.nodes.max(1) - 1).max(1.0);
-        let part = if leader { 0.6 } else { 0.4 / others };
-        let part = if params.nodes == 1 { 0.95 } else { part };
-        self.state.set_rates(params.state.rps * part, (params.state.write_rps * part).max(2.0));
+        let share = self.with(|core| core.write_share());
+        let rps = params.state.rps / f64::from(params.nodes.max(1));
+        self.state.set_rates(rps, (params.state.write_rps * share * 0.97).max(2.0));
     }
 
     /// Watches whether this node has lost the state service, and whether it is
--- a/crates/dapplecroft-controller/src/loops/fleet.rs
+++ b/crates/dapplecroft-controller/src/loops/fleet.rs
@@ -1,5 +1,6 @@
 //! The cloud: machine types, lists, rentals, releases, and silent machines.
 
+use crate::core::GroupUnit;
 use crate::node::{Node, now};
 use crate::records;
 use dapplecroft_cloud::{MAX_RELEASE, Rented};
@@ -38,9 +39,9 @@
                 let node = self.clone();
                 self.spawn(async move { node.probe(id, address).await });
             }
-            for (id, unit) in actions.records {
+            for unit in actions.records {
                 let node = self.clone();
-                self.spawn(async move { node.record(id, unit).await });
+                self.spawn(async move { node.record(unit).await });
             }
             if !actions.silent.is_empty() && !self.consulting.swap(true, Ordering::Relaxed) {
                 let node = self.clone();
@@ -55,7 +56,7 @@
     }
 
     fn leads(&self) -> bool {
-        self.with(|core| core.is_holder())
+        self.with(|core| core.role.leadership.is_some())
     }
 
     /// Repeats a request under its name until its outcome is certain. If this
@@ -78,9 +79,10 @@
         self.with(|core| core.rent_dropped(&request));
     }
 
-    async fn release(&self, ids: Vec<String>) {
+    async fn release(&self, ids: Vec<Arc<str>>) {
+        let names: Vec<String> = ids.iter().map(|id| id.to_string()).collect();
         while self.leads() {
-            match self.cloud.release(&ids).await {
+            match self.cloud.release(&names).await {
                 Outcome::Done(()) => return self.with(|core| core.released(&ids, now())),
                 Outcome::Refused(error) | Outcome::Unknown(error) => {
                     tracing::debug!(error, "release not answered");
@@ -91,20 +93,25 @@
         self.with(|core| core.release_failed(&ids));
     }
 
-    async fn record(&self, id: String, unit: Unit) {
-        let result = self.committer.commit(unit.clone()).await;
-        if let UnitResult::Committed(revision) = result {
-            self.with(|core| core.apply_changes(&unit.changes, revision, now()));
-        } else {
-            sleep(PAUSE).await;
+    async fn record(&self, group: GroupUnit) {
+        match self.committer.commit(group.unit.clone()).await {
+            UnitResult::Committed(revision) => {
+                self.with(|core| core.apply_changes(&group.unit.changes, revision, now()));
+            }
+            UnitResult::Conflict(failed) => {
+                for key in failed {
+                    self.refresh(&key, || true).await;
+                }
+            }
+            UnitResult::Refused(_) | UnitResult::Unknown(_) => sleep(PAUSE).await,
         }
-        self.with(|core| core.recorded(&id));
+        self.with(|core| core.group_written(&group.name));
     }
 
-    async fn probe(&self, id: String, address: String) {
+    async fn probe(&self, id: Arc<str>, address: String) {
         let report = self.ask_status(&address).await;
         self.with(|core| match report {
-            Some(report) if report.machine == id => {
+            Some(report) if *report.machine == *id => {
                 core.probe_answered(&id);
                 core.take_report(&report, now());
             }
@@ -115,7 +122,7 @@
     /// Asks the other nodes about silent machines. If they reach what this node
     /// does not, this node is cut off: it gives up its role and releases
     /// nothing. Only what nobody reaches is given up.
-    async fn consult(&self, silent: Vec<(String, String)>) {
+    async fn consult(&self, silent: Vec<(Arc<str>, String)>) {
         let addresses: Vec<String> =
             silent.iter().map(|(_, a)| a.clone()).filter(|a| !a.is_empty()).collect();
         let mut reached = std::collections::HashSet::new();
@@ -135,13 +142,13 @@
         if reached.len() * 2 > silent.len() && most {
             tracing::info!(silent = silent.len(), all, "others reach the workers that this node does not");
             let lease = self.with(|core| {
-                core.resign("cut off from the workers");
+                core.step_down("cut off from the workers", now());
+                core.role.abstains = Some(now() + ABSTAIN);
                 core.role.lease.take()
             });
             if let Some(lease) = lease {
                 let _ = self.state.revoke(lease).await;
             }
-            sleep(ABSTAIN).await;
             return;
         }
         if answers == 0 && most {
@@ -149,7 +156,7 @@
             sleep(PAUSE * 2).await;
             return;
         }
-        let given_up: Vec<String> =
+        let given_up: Vec<Arc<str>> =
             silent.into_iter().filter(|(_, a)| !reached.contains(a)).map(|(id, _)| id).collect();
         if !given_up.is_empty() {
             tracing::info!(machines = ?given_up, "silent machines are given up");
--- a/crates/dapplecroft-controller/src/loops/follow.rs
+++ b/crates/dapplecroft-controller/src/loops/follow.rs
@@ -39,13 +39,11 @@
     }
 
     /// Pause between watches that bring changes, so that many small changes
-    /// come in few answers. Leaders act on changes; others only answer users,
-    /// and confirm what they answer.
+    /// come in few answers.
     fn follow_gap(&self) -> Duration {
         let params = &self.settings.params;
-        let share = params.state.rps / f64::from(params.nodes) * 0.3;
-        let usual = Duration::from_secs_f64(1.0 / share.max(1.0));
-        if self.with(|core| core.role.leadership.is_some()) { usual / 2 } else { usual * 2 }
+        let share = params.state.rps / f64::from(params.nodes.max(1)) * 0.3;
+        Duration::from_secs_f64(1.0 / share.max(1.0))
     }
 
     async fn read_all(&self) -> bool {
@@ -94,6 +92,10 @@
                 continue;
             }
             self.answer(batch).await;
+            // Requests are scarce: the next questions share one.
+            if self.state.request_room() < 0.5 {
+                sleep(PAUSE / 2).await;
+            }
         }
     }
 
--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -15,6 +15,8 @@
 const LONGEST_ROUND: Duration = Duration::from_millis(500);
 /// A round is due at least this often: pauses end, machines fall silent.
 const TICK: Duration = Duration::from_secs(1);
+/// How often ends of tasks that wait for company are looked at.
+const LAZY_TICK: Duration = Duration::from_millis(100);
 /// How long a worker has to answer direct commands.
 const COMMAND_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -32,14 +34,13 @@
                 core.drain_step(now())
             });
             if let Some(unit) = unit {
-                let result = self.committer.commit(unit.clone()).await;
-                match result {
-                    UnitResult::Committed(revision) => {
-                        self.with(|core| core.apply_changes(&unit.changes, revision, now()));
+                let node = self.clone();
+                self.spawn(async move {
+                    if let UnitResult::Committed(revision) = node.committer.commit(unit.clone()).await {
+                        node.with(|core| core.apply_changes(&unit.changes, revision, now()));
                     }
-                    // The next round sees what became of it.
-                    UnitResult::Conflict(_) | UnitResult::Refused(_) | UnitResult::Unknown(_) => {}
-                }
+                    // Else a later round sees what became of it.
+                });
             }
             let took = now().saturating_duration_since(began);
             sleep((took * 4).clamp(ROUND, LONGEST_ROUND)).await;
@@ -49,11 +50,13 @@
     /// Starts a commit for each job that has something to commit.
     pub(crate) async fn flush_loop(self: Arc<Self>) {
         loop {
-            while let Some(unit) = self.with(|core| core.next_unit()) {
+            let relaxed = self.state.write_room() > 0.5;
+            while let Some(unit) = self.with(|core| core.next_unit(relaxed, now())) {
                 let node = self.clone();
                 self.spawn(async move { node.commit_job(unit).await });
             }
-            let _ = timeout(TICK, self.wake_flush.notified()).await;
+            let lazy = self.with(|core| core.has_lazy());
+            let _ = timeout(if lazy { LAZY_TICK } else { TICK }, self.wake_flush.notified()).await;
         }
     }
 
@@ -61,7 +64,6 @@
     /// unknown may be made much later; trying the same again settles it, since
     /// only one of the two can find its conditions true.
     async fn commit_job(&self, unit: JobUnit) {
-        let in_office = || self.with(|core| core.role.holding.is_some_and(|h| h.epoch == unit.epoch));
         let mut pause = Duration::from_millis(100);
         loop {
             match self.committer.commit(unit.unit.clone()).await {
@@ -70,8 +72,9 @@
                     return;
                 }
                 UnitResult::Conflict(failed) => {
+                    tracing::debug!(job = %unit.job, ?failed, "a change finds other records");
                     for key in failed {
-                        self.refresh(&key, in_office).await;
+                        self.refresh(&key, || true).await;
                     }
                     break;
                 }
@@ -84,9 +87,6 @@
                     tracing::debug!(error, job = %unit.job, "a change is not committed yet");
                 }
             }
-            if !in_office() {
-                break;
-            }
             sleep(pause).await;
             pause = (pause * 2).min(Duration::from_secs(1));
         }
@@ -134,7 +134,7 @@
         if !matches!(end, CommandEnd::Answered(_)) {
             // Its next try is due after a pause, unless a report comes first.
             sleep(Duration::from_secs(1)).await;
-            self.with(|core| core.wakes.command.insert(id.to_string()));
+            self.with(|core| core.wakes.command.insert(id.into()));
         }
     }
 }
--- a/crates/dapplecroft-controller/src/machines.rs
+++ b/crates/dapplecroft-controller/src/machines.rs
@@ -4,7 +4,8 @@
 use dapplecroft_sched::Amounts;
 use dapplecroft_wire::workers::TaskReport;
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// Bits of a fencing token below the block's epoch. A holder raises them for
 /// one worker without a write to the state service.
@@ -25,7 +26,13 @@
 #[derive(Debug, Clone)]
 pub struct Machine {
     /// Its name.
-    pub id: String,
+    pub id: Arc<str>,
+    /// The block that it belongs to.
+    pub block: u32,
+    /// The group whose record has it; none once it was released.
+    pub group: Option<Arc<str>>,
+    /// What it has; nothing while its type is unknown.
+    pub capacity: Amounts,
     /// Its type.
     pub machine_type: String,
     /// Its zone.
@@ -34,10 +41,6 @@
     pub spot: bool,
     /// Where its worker listens.
     pub address: Option<String>,
-    /// Version of its record, and whether the record has the address.
-    pub recorded: Option<(u64, bool)>,
-    /// Whether a write of its record is on its way.
-    pub recording: bool,
     /// When this process learned of it, or last became holder.
     pub since: Instant,
     /// When its worker was last heard.
@@ -59,7 +62,7 @@
     /// What they take.
     pub booked: Amounts,
     /// Images that it has or fetches; `true` once a task ran with it.
-    pub images: BTreeMap<String, bool>,
+    images: BTreeMap<String, bool>,
     /// Whether direct commands are on their way.
     pub commanding: bool,
     /// No direct commands before.
@@ -70,25 +73,28 @@
     pub missed_probes: u32,
     /// What is to become of it.
     pub fate: Fate,
+    /// Whether its record says that its holder has given it up.
+    pub given_up: bool,
     /// Whether a release is on its way.
     pub releasing: bool,
     /// Jobs that failed on it without failing elsewhere.
-    pub failed_jobs: BTreeSet<std::sync::Arc<str>>,
+    pub failed_jobs: BTreeSet<Arc<str>>,
     /// Since when nothing is booked on it.
     pub idle_since: Option<Instant>,
 }
 
 impl Machine {
     /// A machine that has not been heard.
-    pub fn new(id: &str, machine_type: &str, zone: &str, spot: bool, now: Instant) -> Self {
+    pub fn new(id: &str, block: u32, now: Instant) -> Self {
         Machine {
-            id: id.to_string(),
-            machine_type: machine_type.to_string(),
-            zone: zone.to_string(),
-            spot,
+            id: id.into(),
+            block,
+            group: None,
+            capacity: Amounts::default(),
+            machine_type: String::new(),
+            zone: String::new(),
+            spot: false,
             address: None,
-            recorded: None,
-            recording: false,
             since: now,
             heard: None,
             session: 0,
@@ -105,6 +111,7 @@
             probing: false,
             missed_probes: 0,
             fate: Fate::Keep,
+            given_up: false,
             releasing: false,
             failed_jobs: BTreeSet::new(),
             idle_since: Some(now),
@@ -128,6 +135,39 @@
         self.counter += 1;
     }
 
+    /// Notes that it fetches an image, or (`there`) has it.
+    pub fn note_image(&mut self, image: String, there: bool) {
+        *self.images.entry(image).or_insert(there) |= there;
+    }
+
+    /// Whether it has an image; `None` if nothing is known of that.
+    pub fn image(&self, image: &str) -> Option<bool> {
+        self.images.get(image).copied()
+    }
+
+    /// What is left on it.
+    pub fn room(&self) -> Amounts {
+        self.capacity - self.booked
+    }
+
+    /// Whether it takes tasks: its worker has accepted the present token, and
+    /// is heard.
+    pub fn open(&self, epoch: u64, silence: Duration, now: Instant) -> bool {
+        self.heard.is_some_and(|at| now.saturating_duration_since(at) <= silence)
+            && self.synced(epoch)
+            && self.fate == Fate::Keep
+            && !self.given_up
+            && !self.releasing
+            && self.taken_at.is_none()
+            && self.failed_jobs.len() < 2
+    }
+
+    /// Whether it takes tasks as far as anyone but its holder knows: it has come
+    /// up, and has not been given up.
+    pub fn seems_open(&self) -> bool {
+        self.group.is_some() && self.address.is_some() && !self.given_up && self.capacity.cpus > 0
+    }
+
     /// Forgets what an earlier holder knew: sessions, tokens and lists are
     /// believed only when told to this holder.
     pub fn reset(&mut self, now: Instant) {
--- a/crates/dapplecroft-controller/src/node.rs
+++ b/crates/dapplecroft-controller/src/node.rs
@@ -101,7 +101,7 @@
     pub(crate) wake_command: Notify,
     pub(crate) wake_role: Notify,
     pub(crate) wake_fleet: Notify,
-    pub(crate) to_command: Mutex<BTreeSet<String>>,
+    pub(crate) to_command: Mutex<BTreeSet<Arc<str>>>,
     pub(crate) requests: AtomicUsize,
     /// The peer that answers users for this node, while this node alone is out
     /// of contact with the state service.
--- a/crates/dapplecroft-controller/src/options.rs
+++ b/crates/dapplecroft-controller/src/options.rs
@@ -25,6 +25,9 @@
     /// Whether to rent the cheapest machines that do, or those that are up
     /// soonest. The platform's settings do not say which the users want.
     pub thrift: bool,
+    /// Machines of a block: as many as one rental brings, so that what is rented
+    /// together is held together.
+    pub block_machines: usize,
     /// Users' requests worked on at a time; more get 503.
     pub max_requests: usize,
 }
@@ -41,6 +44,7 @@
             preempt_limit: Duration::from_secs(60),
             idle_return: None,
             thrift: true,
+            block_machines: 50,
             max_requests: 256,
         }
     }
--- /dev/null
+++ b/crates/dapplecroft-controller/src/ranges.rs
@@ -0,0 +1,181 @@
+//! Sets of whole numbers as sorted ranges: jobs have up to 100,000 tasks, most
+//! of them next to each other in whatever state they are.
+
+use serde::{Deserialize, Serialize};
+
+/// A set of whole numbers as sorted inclusive ranges that don't touch.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Ranges(Vec<(u32, u32)>);
+
+impl Ranges {
+    /// All numbers below `end`.
+    pub fn below(end: u32) -> Ranges {
+        Ranges(if end == 0 { Vec::new() } else { vec![(0, end - 1)] })
+    }
+
+    /// A set from numbers in ascending order.
+    pub fn ascending(numbers: impl IntoIterator<Item = u32>) -> Ranges {
+        let mut set: Vec<(u32, u32)> = Vec::new();
+        for n in numbers {
+            match set.last_mut() {
+                Some((_, b)) if *b + 1 >= n => *b = n.max(*b),
+                _ => set.push((n, n)),
+            }
+        }
+        Ranges(set)
+    }
+
+    /// Whether there is nothing in it.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// How many numbers are in it.
+    pub fn len(&self) -> u32 {
+        self.0.iter().map(|(a, b)| b - a + 1).sum()
+    }
+
+    /// The smallest number.
+    pub fn first(&self) -> Option<u32> {
+        self.0.first().map(|(a, _)| *a)
+    }
+
+    /// Whether `n` is in it.
+    pub fn contains(&self, n: u32) -> bool {
+        let i = self.0.partition_point(|&(_, b)| b < n);
+        self.0.get(i).is_some_and(|&(a, _)| a <= n)
+    }
+
+    /// Adds `n`.
+    pub fn insert(&mut self, n: u32) {
+        let i = self.0.partition_point(|&(_, b)| b < n);
+        if self.0.get(i).is_some_and(|&(a, _)| a <= n) {
+            return;
+        }
+        let joins_left = i > 0 && self.0[i - 1].1 + 1 == n;
+        let joins_right = self.0.get(i).is_some_and(|&(a, _)| a == n + 1);
+        match (joins_left, joins_right) {
+            (true, true) => {
+                self.0[i - 1].1 = self.0[i].1;
+                self.0.remove(i);
+            }
+            (true, false) => self.0[i - 1].1 = n,
+            (false, true) => self.0[i].0 = n,
+            (false, false) => self.0.insert(i, (n, n)),
+        }
+    }
+
+    /// Takes `n` out.
+    pub fn remove(&mut self, n: u32) {
+        let i = self.0.partition_point(|&(_, b)| b < n);
+        let Some(&(a, b)) = self.0.get(i).filter(|&&(a, _)| a <= n) else { return };
+        match (a == n, b == n) {
+            (true, true) => {
+                self.0.remove(i);
+            }
+            (true, false) => self.0[i].0 = n + 1,
+            (false, true) => self.0[i].1 = n - 1,
+            (false, false) => {
+                self.0[i].1 = n - 1;
+                self.0.insert(i + 1, (n + 1, b));
+            }
+        }
+    }
+
+    /// All numbers in either.
+    pub fn union(&self, other: &Ranges) -> Ranges {
+        let mut all: Vec<(u32, u32)> = self.0.iter().chain(&other.0).copied().collect();
+        all.sort_unstable();
+        let mut set: Vec<(u32, u32)> = Vec::with_capacity(all.len());
+        for (a, b) in all {
+            match set.last_mut() {
+                Some((_, last)) if last.saturating_add(1) >= a => *last = (*last).max(b),
+                _ => set.push((a, b)),
+            }
+        }
+        Ranges(set)
+    }
+
+    /// All numbers that are not in `other`.
+    pub fn without(&self, other: &Ranges) -> Ranges {
+        if other.is_empty() {
+            return self.clone();
+        }
+        let mut set = Vec::with_capacity(self.0.len());
+        let mut cuts = other.0.iter().peekable();
+        for &(mut a, b) in &self.0 {
+            while cuts.next_if(|(_, end)| *end < a).is_some() {}
+            let mut ahead = cuts.clone();
+            let mut open = true;
+            while let Some(&&(x, y)) = ahead.peek().filter(|(x, _)| *x <= b) {
+                if x > a {
+                    set.push((a, x - 1));
+                }
+                if y >= b {
+                    open = false;
+                    break;
+                }
+                a = a.max(y + 1);
+                ahead.next();
+            }
+            if open {
+                set.push((a, b));
+            }
+        }
+        Ranges(set)
+    }
+
+    /// The first `n` numbers.
+    pub fn head(&self, mut n: u32) -> Ranges {
+        let mut set = Vec::new();
+        for &(a, b) in &self.0 {
+            if n == 0 {
+                break;
+            }
+            let take = n.min(b - a + 1);
+            set.push((a, a + take - 1));
+            n -= take;
+        }
+        Ranges(set)
+    }
+
+    /// The pieces, as inclusive bounds.
+    pub fn pieces(&self) -> &[(u32, u32)] {
+        &self.0
+    }
+
+    /// All numbers in it.
+    pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
+        self.0.iter().flat_map(|&(a, b)| a..=b)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeSet;
+
+    #[test]
+    fn ranges_behave_as_sets_of_numbers() {
+        // Every pair of subsets of seven numbers.
+        let set = |bits: u32| (0..7).filter(|n| bits & (1 << n) != 0).collect::<BTreeSet<u32>>();
+        for x in 0..128u32 {
+            for y in 0..128u32 {
+                let (a, b) = (set(x), set(y));
+                let (ra, rb) = (Ranges::ascending(a.iter().copied()), Ranges::ascending(b.iter().copied()));
+                assert_eq!(ra.union(&rb), Ranges::ascending(set(x | y)));
+                assert_eq!(ra.without(&rb), Ranges::ascending(set(x & !y)));
+                let (mut put, mut cut) = (ra.clone(), ra.clone());
+                b.iter().for_each(|n| put.insert(*n));
+                b.iter().for_each(|n| cut.remove(*n));
+                assert_eq!((put, cut), (ra.union(&rb), ra.without(&rb)));
+            }
+            let r = Ranges::ascending(set(x));
+            assert_eq!(r.len() as usize, set(x).len());
+            assert_eq!(r.first(), set(x).first().copied());
+            assert_eq!(r.head(2).iter().collect::<Vec<_>>(), set(x).into_iter().take(2).collect::<Vec<_>>());
+            assert!((0..7).all(|n| r.contains(n) == set(x).contains(&n)));
+        }
+    }
+}
--- a/crates/dapplecroft-controller/src/records.rs
+++ b/crates/dapplecroft-controller/src/records.rs
@@ -1,5 +1,6 @@
 //! What the state service holds. Nothing else survives a process.
 
+use crate::ranges::Ranges;
 use dapplecroft_wire::users::JobSpec;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -10,10 +11,16 @@
 pub const LEADER: &str = "dc/leader";
 /// The machine types.
 pub const CATALOG: &str = "dc/catalog";
-/// The drain under way, if any.
-pub const DRAIN: &str = "dc/drain";
-/// The block that all machines belong to until blocks are spread.
-pub const BLOCK: &str = "dc/b/0";
+
+/// A block's key.
+pub fn block_key(block: u32) -> String {
+    format!("dc/b/{block}")
+}
+
+/// The key of the drain under way in a block.
+pub fn drain_key(block: u32) -> String {
+    format!("dc/d/{block}")
+}
 
 /// A job's key.
 pub fn job_key(id: &str) -> String {
@@ -25,9 +32,9 @@
     format!("dc/p/{block}/{id}/{chunk}")
 }
 
-/// A machine's key.
-pub fn machine_key(id: &str) -> String {
-    format!("dc/m/{id}")
+/// The key of a group of machines.
+pub fn group_key(name: &str) -> String {
+    format!("dc/m/{name}")
 }
 
 /// A controller's liveness key.
@@ -42,16 +49,16 @@
     Leader,
     /// The machine types.
     Catalog,
-    /// The drain.
-    Drain,
+    /// The drain in a block.
+    Drain(u32),
     /// A block.
-    Block,
+    Block(u32),
     /// A job.
     Job(&'a str),
-    /// A chunk of placements: job and number.
-    Chunk(&'a str, u32),
-    /// A machine.
-    Machine(&'a str),
+    /// A chunk of placements: block, job and number.
+    Chunk(u32, &'a str, u32),
+    /// A group of machines.
+    Group(&'a str),
     /// A controller.
     Live(&'a str),
 }
@@ -62,15 +69,16 @@
         Some(match key.strip_prefix(PREFIX)? {
             "leader" => Key::Leader,
             "catalog" => Key::Catalog,
-            "drain" => Key::Drain,
-            "b/0" => Key::Block,
             rest => match rest.split_once('/')? {
                 ("j", id) => Key::Job(id),
-                ("m", id) => Key::Machine(id),
+                ("m", name) => Key::Group(name),
+                ("b", block) => Key::Block(block.parse().ok()?),
+                ("d", block) => Key::Drain(block.parse().ok()?),
                 ("n", host) => Key::Live(host),
                 ("p", rest) => {
-                    let (job, chunk) = rest.strip_prefix("0/")?.rsplit_once('/')?;
-                    Key::Chunk(job, chunk.parse().ok()?)
+                    let (block, rest) = rest.split_once('/')?;
+                    let (job, chunk) = rest.rsplit_once('/')?;
+                    Key::Chunk(block.parse().ok()?, job, chunk.parse().ok()?)
                 }
                 _ => return None,
             },
@@ -101,9 +109,13 @@
     /// Tasks per chunk of placements.
     #[serde(default)]
     pub chunk: u32,
-    /// Chunks all of whose tasks are done, as inclusive ranges.
+    /// Tasks that the leader has admitted to each block. Only the holder of
+    /// that block places them.
+    #[serde(rename = "to", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub admitted: BTreeMap<u32, Ranges>,
+    /// Completed tasks whose chunks were dropped.
     #[serde(default, skip_serializing_if = "Ranges::is_empty")]
-    pub full: Ranges,
+    pub folded: Ranges,
     /// Completed tasks, once the job is over.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub done: Option<u32>,
@@ -115,7 +127,8 @@
     pub spec: Option<JobSpec>,
 }
 
-/// Placements of a chunk of a job's tasks; written by the block's holder alone.
+/// Placements, in one block, of a chunk of a job's tasks; written by the
+/// block's holder alone, and dropped with the job.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct ChunkRecord {
     /// Completed tasks.
@@ -158,19 +171,34 @@
     pub epoch: u64,
 }
 
-/// A rented machine.
+/// Machines that were rented together, or taken in together. They are one
+/// record, since a record each would use up the state service's writes. A
+/// machine leaves it only once its release was answered: that is the proof, for
+/// every controller, that nothing runs there any more.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MachineRecord {
-    /// Its type.
+pub struct GroupRecord {
+    /// The block that the machines belong to, for good.
+    pub block: u32,
+    /// Their type.
     #[serde(rename = "type")]
     pub machine_type: String,
-    /// Its zone.
+    /// Their zone.
     pub zone: String,
     /// Spot or ordinary.
     pub spot: bool,
+    /// The machines by name.
+    pub machines: BTreeMap<String, MemberRecord>,
+}
+
+/// A machine of a group.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
     /// Where its worker listens, once it has reported.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
     pub address: Option<String>,
+    /// Whether the block's holder has given it up: the leader releases it.
+    #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
+    pub given_up: bool,
 }
 
 /// The drain under way.
@@ -184,74 +212,18 @@
     pub moves: Vec<(String, u32, u64, String)>,
 }
 
-/// A set of whole numbers as sorted inclusive ranges.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Ranges(Vec<(u32, u32)>);
-
-impl Ranges {
-    /// Whether there is nothing in it.
-    pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
-
-    /// How many numbers are in it.
-    pub fn len(&self) -> u32 {
-        self.0.iter().map(|(a, b)| b - a + 1).sum()
-    }
-
-    /// Whether `n` is in it.
-    pub fn contains(&self, n: u32) -> bool {
-        let i = self.0.partition_point(|&(_, b)| b < n);
-        self.0.get(i).is_some_and(|&(a, _)| a <= n)
-    }
-
-    /// Adds `n`.
-    pub fn insert(&mut self, n: u32) {
-        let i = self.0.partition_point(|&(_, b)| b < n);
-        if self.0.get(i).is_some_and(|&(a, _)| a <= n) {
-            return;
-        }
-        let joins_left = i > 0 && self.0[i - 1].1 + 1 == n;
-        let joins_right = self.0.get(i).is_some_and(|&(a, _)| a == n + 1);
-        match (joins_left, joins_right) {
-            (true, true) => {
-                self.0[i - 1].1 = self.0[i].1;
-                self.0.remove(i);
-            }
-            (true, false) => self.0[i - 1].1 = n,
-            (false, true) => self.0[i].0 = n,
-            (false, false) => self.0.insert(i, (n, n)),
-        }
-    }
-
-    /// All numbers in it.
-    pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
-        self.0.iter().flat_map(|&(a, b)| a..=b)
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
 
-    #[test]
-    fn ranges_join_and_count() {
-        let mut r = Ranges::default();
-        for n in [5, 1, 3, 2, 9, 3] {
-            r.insert(n);
-        }
-        assert_eq!(r, Ranges(vec![(1, 3), (5, 5), (9, 9)]));
-        r.insert(4);
-        assert_eq!(r.len(), 6);
-        assert_eq!(r.iter().collect::<Vec<_>>(), [1, 2, 3, 4, 5, 9]);
-        assert!(r.contains(4) && !r.contains(6) && !r.contains(0));
-    }
-
     #[test]
     fn keys_are_taken_apart() {
-        assert_eq!(Key::parse(&chunk_key(0, "run-1", 7)), Some(Key::Chunk("run-1", 7)));
+        assert_eq!(Key::parse(&chunk_key(3, "run-1", 7)), Some(Key::Chunk(3, "run-1", 7)));
         assert_eq!(Key::parse(&job_key("run-1")), Some(Key::Job("run-1")));
+        assert_eq!(Key::parse(&block_key(12)), Some(Key::Block(12)));
+        assert_eq!(Key::parse(&drain_key(12)), Some(Key::Drain(12)));
+        assert_eq!(Key::parse(&group_key("dc-7-1")), Some(Key::Group("dc-7-1")));
         assert_eq!(Key::parse("dc/x/1"), None);
+        assert_eq!(Key::parse("dc/b/x"), None);
     }
 }
--- a/crates/dapplecroft-controller/src/users.rs
+++ b/crates/dapplecroft-controller/src/users.rs
@@ -1,6 +1,6 @@
 //! The users' interface.
 
-use crate::jobs::Job;
+use crate::jobs::{Job, OpenJob};
 use crate::node::{Answered, Node, Question, Reply, lock, now};
 use crate::records::{self, JobRecord, JobStage};
 use bytes::Bytes;
@@ -145,13 +145,17 @@
             }
         }
         let key = records::job_key(&id);
-        let chunk = (self.settings.params.state.value_kb * 1024.0 / 96.0) as u32;
+        // As many placements as a value surely holds: index, attempt, machine
+        // and session.
+        let name = self.with(|core| core.machines.keys().map(|id| id.len()).max()).unwrap_or(0).max(12);
+        let chunk = (self.settings.params.state.value_kb * 1024.0 / (name as f64 + 34.0)) as u32;
         let at = self.wall_seconds();
         let record = JobRecord {
             stage: JobStage::Open,
             tasks: spec.tasks,
-            chunk: chunk.clamp(16, 256),
-            full: Default::default(),
+            chunk: chunk.clamp(16, 512),
+            admitted: Default::default(),
+            folded: Default::default(),
             done: None,
             at,
             spec: Some(spec),
@@ -221,12 +225,9 @@
                 return Reply::json(200, &status);
             }
             let key = records::job_key(id);
-            let Some((record, version)) =
-                self.with(|core| core.open_job(id).map(|job| (job.record.clone(), job.version)))
-            else {
+            let Some((record, version)) = self.with(|core| core.open_job(id).map(withdrawn)) else {
                 continue;
             };
-            let record = JobRecord { stage: JobStage::Withdrawn, ..record };
             let Ok(value) = serde_json::to_value(&record) else {
                 return Reply::busy("not stored", 1);
             };
@@ -253,6 +254,19 @@
     }
 }
 
+/// The record of a job once its user has withdrawn it. If none of its tasks was
+/// admitted to a block, none was placed, and none ever will be, since every
+/// placement is bound to the record: then this is its final form already.
+fn withdrawn(job: &OpenJob) -> (JobRecord, u64) {
+    let done = job.done.len();
+    let record = if job.chunks.is_empty() && job.record.admitted.is_empty() {
+        job.record.compact(JobStage::Withdrawn, done)
+    } else {
+        JobRecord { stage: JobStage::Withdrawn, done: Some(done), ..job.record.clone() }
+    };
+    (record, job.version)
+}
+
 enum Judgement {
     Fits,
     Unknown,
--- a/crates/dapplecroft-controller/tests/stories/cluster.rs
+++ b/crates/dapplecroft-controller/tests/stories/cluster.rs
@@ -168,7 +168,7 @@
         let record = self.state.value("dc/leader")?;
         let n = (0..NODES).find(|n| record["host"] == host(*n))?;
         let node = self.running.lock().unwrap().get(&host(n)).cloned()?;
-        node.with(|core| core.is_holder()).then_some(n)
+        node.with(|core| core.leads(Instant::now().into_std())).then_some(n)
     }
 
     pub async fn call(&self, n: usize, method: Method, path: &str, body: &Value) -> (u16, Value) {
--- a/crates/dapplecroft-controller/tests/stories/failures.rs
+++ b/crates/dapplecroft-controller/tests/stories/failures.rs
@@ -191,12 +191,12 @@
     for step in 0..12 {
         let c = split_machines().await;
         for _ in 0..600 {
-            if c.state.value("dc/drain").is_some() || c.referee.starts("run-5/0") > 0 {
+            if c.state.value("dc/d/0").is_some() || c.referee.starts("run-5/0") > 0 {
                 break;
             }
             pause(0.05).await;
         }
-        drained += usize::from(c.state.value("dc/drain").is_some());
+        drained += usize::from(c.state.value("dc/d/0").is_some());
         pause(f64::from(step) * 0.15).await;
         if step > 0 {
             // Step 0 is the undisturbed drain.
@@ -208,7 +208,7 @@
         c.until_stage("run-5", "done").await;
         c.until_stage("run-3", "done").await;
         c.until_stage("run-4", "done").await;
-        c.until("the drain's record is gone", || c.state.value("dc/drain").is_none()).await;
+        c.until("the drain's record is gone", || c.state.value("dc/d/0").is_none()).await;
         if step == 0 {
             let moved = c.referee.starts("run-3/0") + c.referee.starts("run-4/0");
             assert_eq!(moved, 3, "one small task was moved, once");
@@ -265,7 +265,10 @@
     // The end of the task's stay on the dead machine never gets through.
     c.net.rule(Rule::all("", STATE, Action::Drop).path("/multi").body("\"t\":{\"0\":1}"));
     let leader = c.leader().unwrap();
-    c.until("the release is answered", || c.node(leader).with(|core| core.gone.contains_key(&machine))).await;
+    c.until("the release is answered", || {
+        c.node(leader).with(|core| core.gone.contains_key(machine.as_str()))
+    })
+    .await;
     pause(3.0).await;
     c.kill_node(leader);
     c.net.clear_rules();
--- a/crates/dapplecroft-controller/tests/stories/late.rs
+++ b/crates/dapplecroft-controller/tests/stories/late.rs
@@ -189,7 +189,8 @@
     // From now on lists show what was returned, and not what is there.
     c.cloud.older_lists(Duration::from_secs(30));
     pause(10.0).await;
-    let known: Vec<String> = c.node(c.leader().unwrap()).with(|core| core.machines.keys().cloned().collect());
+    let known: Vec<String> =
+        c.node(c.leader().unwrap()).with(|core| core.machines.keys().map(|id| id.to_string()).collect());
     assert_eq!(known, [mine]);
     c.until_stage("run-2", "done").await;
     assert_eq!(c.referee.starts("run-2/0"), 1);
--- a/crates/dapplecroft-net/src/budget.rs
+++ b/crates/dapplecroft-net/src/budget.rs
@@ -47,6 +47,13 @@
         }
     }
 
+    /// What is left of a burst: 1 all of it, 0 or less none.
+    pub fn room(&self) -> f64 {
+        let mut inner = self.lock();
+        inner.refill();
+        inner.level / inner.rate.max(1.0)
+    }
+
     /// Takes `units`, waiting for them if need be.
     pub async fn acquire(&self, units: f64) {
         let wait = self.take(units);
--- a/crates/dapplecroft-sched/src/fleet.rs
+++ b/crates/dapplecroft-sched/src/fleet.rs
@@ -1,6 +1,6 @@
 //! How many machines of which kind to rent for work that fits nowhere.
 
-use crate::{Amounts, Need, Slot, best_fit};
+use crate::{Amounts, Need};
 use std::collections::BTreeMap;
 
 /// Tasks of one job that wait for a machine.
@@ -59,16 +59,33 @@
     best.map(|(index, _)| index)
 }
 
-/// Packs the demands onto the machines that are still booting, and returns what
-/// to rent for the rest. `offers` are those not backed off from.
+/// Equal machines that are not taking work yet, with the room on each.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Rooms {
+    /// Machine type.
+    pub machine_type: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// Room on each.
+    pub room: Amounts,
+    /// How many there are.
+    pub count: i64,
+}
+
+/// Packs the demands onto the machines that are still coming, and returns what
+/// to rent for the rest, up to `most` machines. `offers` are those not backed
+/// off from. Equal machines are counted, not listed, so that the work grows
+/// with the demands and not with the fleet.
 pub fn plan_rentals(
     demands: &[Demand],
-    booting: Vec<Slot>,
+    coming: Vec<Rooms>,
     offers: &[Offer],
     thrift: bool,
     most: u32,
 ) -> Vec<Rental> {
-    let mut slots = booting;
+    let mut rooms = coming;
     let mut order: Vec<&Demand> = demands.iter().collect();
     order.sort_by_key(|d| {
         std::cmp::Reverse((d.need.amounts.cpus, d.need.amounts.gpus, d.need.amounts.memory))
@@ -76,42 +93,68 @@
     let mut counts: BTreeMap<usize, u32> = BTreeMap::new();
     let mut total = 0;
     for demand in order {
-        let mut left = demand.count;
-        while left > 0 {
-            if let Some(index) = best_fit(&slots, &demand.need, |_| true) {
-                let slot = &mut slots[index];
-                let n = demand.need.amounts.times_in(&slot.room()).clamp(1, left);
-                slot.booked += demand.need.amounts.times(n);
-                left -= n;
-                continue;
-            }
-            if total >= most {
-                break;
-            }
-            let Some(index) = cheapest_offer(offers, &demand.need, left, thrift) else { break };
+        let need = &demand.need;
+        let mut left = pack(&mut rooms, need, demand.count);
+        while left > 0 && total < most {
+            let Some(index) = cheapest_offer(offers, need, left, thrift) else { break };
             let offer = &offers[index];
-            slots.push(Slot {
-                machine: String::new(),
-                machine_type: offer.machine_type.clone(),
-                zone: offer.zone.clone(),
-                spot: offer.spot,
-                capacity: offer.capacity,
-                booked: Amounts::default(),
-                images: BTreeMap::new(),
-                open: true,
-                doubtful: false,
-            });
-            *counts.entry(index).or_default() += 1;
-            total += 1;
+            let each = need.amounts.times_in(&offer.capacity).max(1);
+            // A last machine that would stay partly empty is chosen by itself.
+            let full = (left / each).max(1).min(i64::from(most - total));
+            let here = (full * each).min(left);
+            *counts.entry(index).or_default() += full as u32;
+            total += full as u32;
+            left -= here;
+            let rest = full * each - here;
+            if rest > 0 || need.amounts.times(each) != offer.capacity {
+                rooms.push(Rooms {
+                    machine_type: offer.machine_type.clone(),
+                    zone: offer.zone.clone(),
+                    spot: offer.spot,
+                    room: offer.capacity - need.amounts.times(if full == 1 { here } else { each }),
+                    count: full,
+                });
+            }
         }
     }
     counts.into_iter().map(|(offer, count)| Rental { offer, count }).collect()
 }
 
+/// Takes room for up to `count` tasks, the tightest room first, and returns how
+/// many found none.
+fn pack(rooms: &mut Vec<Rooms>, need: &Need, count: i64) -> i64 {
+    let mut order: Vec<usize> = (0..rooms.len())
+        .filter(|&i| {
+            let r = &rooms[i];
+            r.count > 0 && need.allows(&r.machine_type, &r.zone, r.spot) && need.amounts.fits(&r.room)
+        })
+        .collect();
+    order.sort_by_key(|&i| (rooms[i].room.cpus, rooms[i].room.memory, i));
+    let mut left = count;
+    for i in order {
+        if left <= 0 {
+            break;
+        }
+        let each = need.amounts.times_in(&rooms[i].room).max(1);
+        let full = (left / each).min(rooms[i].count);
+        let part = if full < rooms[i].count { left - full * each } else { 0 };
+        let (room, old) = (rooms[i].room, rooms[i].clone());
+        rooms[i].count -= full + i64::from(part > 0);
+        left -= full * each + part;
+        if full > 0 {
+            rooms.push(Rooms { room: room - need.amounts.times(each), count: full, ..old.clone() });
+        }
+        if part > 0 {
+            rooms.push(Rooms { room: room - need.amounts.times(part), count: 1, ..old });
+        }
+    }
+    left
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::place::tests::{need, slot};
+    use crate::place::tests::need;
 
     fn offer(name: &str, cpus: f64, price: f64, boot_s: f64) -> Offer {
         Offer {
@@ -128,10 +171,22 @@
     fn booting_machines_are_filled_before_more_are_rented() {
         let demands = [Demand { need: need(4.0), count: 6 }];
         let offers = [offer("small", 16.0, 1.0, 50.0), offer("big", 32.0, 2.5, 20.0)];
-        let plan = plan_rentals(&demands, vec![slot("boots", 16.0, 0.0)], &offers, true, 50);
+        let boots = |cpus: f64, count| {
+            let room = Amounts::new(cpus, 0.0, cpus * 4.0);
+            vec![Rooms { machine_type: "m".into(), zone: "z".into(), spot: false, room, count }]
+        };
+        let plan = plan_rentals(&demands, boots(16.0, 1), &offers, true, 50);
         assert_eq!(plan, [Rental { offer: 0, count: 1 }]);
-        let none = plan_rentals(&demands, vec![slot("boots", 32.0, 0.0)], &offers, true, 50);
-        assert!(none.is_empty());
+        assert!(plan_rentals(&demands, boots(32.0, 1), &offers, true, 50).is_empty());
+        assert!(plan_rentals(&demands, boots(16.0, 2), &offers, true, 50).is_empty());
+    }
+
+    #[test]
+    fn a_thousand_machines_are_planned_by_kinds() {
+        let many = [Demand { need: need(4.0), count: 4001 }, Demand { need: need(2.0), count: 2 }];
+        let offers = [offer("small", 16.0, 1.0, 50.0)];
+        assert_eq!(plan_rentals(&many, vec![], &offers, true, 5000), [Rental { offer: 0, count: 1001 }]);
+        assert_eq!(plan_rentals(&many, vec![], &offers, true, 70), [Rental { offer: 0, count: 70 }]);
     }
 
     #[test]
--- a/crates/dapplecroft-sched/src/place.rs
+++ b/crates/dapplecroft-sched/src/place.rs
@@ -1,7 +1,7 @@
 //! Best fit on the dominant share.
 
 use crate::Amounts;
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
 
 /// A machine as placement sees it.
 #[derive(Debug, Clone, PartialEq)]
@@ -18,12 +18,8 @@
     pub capacity: Amounts,
     /// What is booked on it.
     pub booked: Amounts,
-    /// Images that it has or fetches; `true` once there.
-    pub images: BTreeMap<String, bool>,
     /// Whether tasks may be placed on it.
     pub open: bool,
-    /// Whether it has shown itself to be slow or faulty: taken only last.
-    pub doubtful: bool,
 }
 
 impl Slot {
@@ -71,27 +67,71 @@
 /// image decides between them.
 const SHARE_STEPS: f64 = 4.0;
 
-/// The slot on which a task fits best: the one whose dominant share becomes the
-/// highest. Among about equally full ones, one that has the image is taken, or
-/// fetches it already. `zone_ok` tells which zones the job's other tasks allow.
-pub fn best_fit(slots: &[Slot], need: &Need, zone_ok: impl Fn(&str) -> bool) -> Option<usize> {
-    let mut best: Option<(usize, (bool, i64, u8, f64))> = None;
-    for (index, slot) in slots.iter().enumerate() {
-        if !slot.open || !need.fits(slot) || !zone_ok(&slot.zone) {
-            continue;
-        }
-        let share = (slot.booked + need.amounts).share_of(&slot.capacity);
-        let image = match need.image.as_ref().map(|i| slot.images.get(i)) {
-            None | Some(Some(true)) => 2,
-            Some(Some(false)) => 1,
-            Some(None) => 0,
-        };
-        let key = (!slot.doubtful, (share * SHARE_STEPS) as i64, image, share);
-        if best.as_ref().is_none_or(|(_, b)| key > *b) {
-            best = Some((index, key));
+/// Whether a machine has an image.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum HasImage {
+    /// No.
+    No,
+    /// It is being fetched.
+    Fetching,
+    /// Yes, or none is needed.
+    Yes,
+}
+
+/// A machine that is allowed for a job, as best fit sees it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// What it has.
+    pub capacity: Amounts,
+    /// What is booked on it.
+    pub booked: Amounts,
+    /// Whether it has the job's image.
+    pub image: HasImage,
+    /// Whether it has shown itself to be slow or faulty: taken only last.
+    pub doubtful: bool,
+}
+
+/// Best fit on the dominant share for `count` equal tasks: each goes onto the
+/// machine whose share becomes the highest. Among about equally full ones, one
+/// that has the image is taken, or fetches it already. Filling a machine makes
+/// it fuller, so it stays the best until nothing more fits: one pass over the
+/// candidates serves all tasks. Returns candidates with numbers of tasks.
+pub fn best_fit(candidates: &[Candidate], need: &Amounts, count: i64) -> Vec<(usize, i64)> {
+    let mut order: Vec<(bool, i64, HasImage, f64, Reverse<usize>)> = candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, c)| need.fits(&(c.capacity - c.booked)))
+        .map(|(index, c)| {
+            let share = (c.booked + *need).share_of(&c.capacity);
+            (!c.doubtful, (share * SHARE_STEPS) as i64, c.image, share, Reverse(index))
+        })
+        .collect();
+    let better = |a: &(bool, i64, HasImage, f64, Reverse<usize>),
+                  b: &(bool, i64, HasImage, f64, Reverse<usize>)| {
+        (b.0, b.1, b.2).cmp(&(a.0, a.1, a.2)).then(b.3.total_cmp(&a.3)).then(b.4.cmp(&a.4))
+    };
+    // Only as many machines as there are tasks can be needed.
+    let most = usize::try_from(count.max(0)).unwrap_or(usize::MAX);
+    if most == 0 {
+        return Vec::new();
+    }
+    if order.len() > most {
+        order.select_nth_unstable_by(most - 1, better);
+        order.truncate(most);
+    }
+    order.sort_unstable_by(better);
+    let mut left = count;
+    let mut chosen = Vec::new();
+    for (_, _, _, _, Reverse(index)) in order {
+        if left <= 0 {
+            break;
         }
+        let c = &candidates[index];
+        let n = need.times_in(&(c.capacity - c.booked)).clamp(1, left);
+        chosen.push((index, n));
+        left -= n;
     }
-    best.map(|(index, _)| index)
+    chosen
 }
 
 #[cfg(test)]
@@ -106,9 +146,7 @@
             spot: false,
             capacity: Amounts::new(cpus, 0.0, cpus * 4.0),
             booked: Amounts::new(booked, 0.0, booked),
-            images: BTreeMap::new(),
             open: true,
-            doubtful: false,
         }
     }
 
@@ -116,33 +154,39 @@
         Need { amounts: Amounts::new(cpus, 0.0, cpus), spot: true, ..Need::default() }
     }
 
+    fn candidate(cpus: f64, booked: f64) -> Candidate {
+        let slot = slot("c", cpus, booked);
+        Candidate { capacity: slot.capacity, booked: slot.booked, image: HasImage::No, doubtful: false }
+    }
+
     #[test]
-    fn the_fullest_machine_that_still_fits_is_taken() {
-        let slots = [slot("a", 16.0, 0.0), slot("b", 16.0, 8.0), slot("c", 16.0, 14.0)];
-        assert_eq!(best_fit(&slots, &need(4.0), |_| true), Some(1));
-        assert_eq!(best_fit(&slots, &need(2.0), |_| true), Some(2));
-        assert_eq!(best_fit(&slots, &need(17.0), |_| true), None);
+    fn the_fullest_machine_that_still_fits_is_filled_first() {
+        let machines = [candidate(16.0, 0.0), candidate(16.0, 8.0), candidate(16.0, 14.0)];
+        assert_eq!(best_fit(&machines, &need(4.0).amounts, 1), [(1, 1)]);
+        assert_eq!(best_fit(&machines, &need(2.0).amounts, 1), [(2, 1)]);
+        assert_eq!(best_fit(&machines, &need(4.0).amounts, 5), [(1, 2), (0, 3)]);
+        assert!(best_fit(&machines, &need(17.0).amounts, 1).is_empty());
+        assert!(best_fit(&machines, &need(4.0).amounts, 0).is_empty());
     }
 
     #[test]
-    fn the_image_decides_between_about_equally_full_machines() {
-        let mut slots = [slot("a", 16.0, 4.5), slot("b", 16.0, 4.0)];
-        slots[1].images.insert("i".into(), true);
-        let mut task = need(1.0);
-        task.image = Some("i".into());
-        assert_eq!(best_fit(&slots, &task, |_| true), Some(1));
+    fn the_image_decides_between_about_equally_full_machines_and_doubt_before_all() {
+        let mut machines = [candidate(16.0, 4.5), candidate(16.0, 4.0)];
+        machines[1].image = HasImage::Yes;
+        assert_eq!(best_fit(&machines, &need(1.0).amounts, 1), [(1, 1)]);
+        machines[1].doubtful = true;
+        assert_eq!(best_fit(&machines, &need(1.0).amounts, 1), [(0, 1)]);
     }
 
     #[test]
     fn types_zones_and_spot_are_respected() {
         let mut spot = slot("a", 16.0, 8.0);
         spot.spot = true;
-        let slots = [spot, slot("b", 16.0, 0.0)];
         let mut task = need(4.0);
+        assert!(task.fits(&spot));
         task.spot = false;
-        assert_eq!(best_fit(&slots, &task, |_| true), Some(1));
+        assert!(!task.fits(&spot) && task.fits(&slot("b", 16.0, 0.0)));
         task.types = Some(vec!["other".into()]);
-        assert_eq!(best_fit(&slots, &task, |_| true), None);
-        assert_eq!(best_fit(&slots, &need(4.0), |_| false), None);
+        assert!(!task.fits(&slot("b", 16.0, 0.0)));
     }
 }
--- a/crates/dapplecroft-state/src/committer.rs
+++ b/crates/dapplecroft-state/src/committer.rs
@@ -6,11 +6,15 @@
 use dapplecroft_wire::state::{Change, Condition, Transaction};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
 
 /// The largest transaction that is put together, well under the service's limit.
 const MAX_BYTES: usize = 48 * 1024;
 
+/// How long a group gathers while requests are scarce.
+const GATHER: Duration = Duration::from_millis(50);
+
 /// A change that is made whole or not at all.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Unit {
@@ -84,6 +88,10 @@
                 continue;
             }
             self.commit_group(&client, group).await;
+            // Requests are scarce: the next group waits for company.
+            if client.request_room() < 0.5 {
+                tokio::time::sleep(GATHER).await;
+            }
         }
     }
 
--- a/crates/dapplecroft-state/src/lib.rs
+++ b/crates/dapplecroft-state/src/lib.rs
@@ -52,6 +52,16 @@
         self.writes.set_rate(write_rps);
     }
 
+    /// What is left of this node's burst of writes: 1 all of it, 0 or less none.
+    pub fn write_room(&self) -> f64 {
+        self.writes.room()
+    }
+
+    /// The same for requests.
+    pub fn request_room(&self) -> f64 {
+        self.requests.room()
+    }
+
     async fn call(
         &self,
         method: Method,
--- a/crates/dapplecroft/src/options.rs
+++ b/crates/dapplecroft/src/options.rs
@@ -66,6 +66,9 @@
     if let Some(most) = number("max_requests", 1.0, 10000.0)? {
         options.max_requests = most as usize;
     }
+    if let Some(machines) = number("block_machines", 1.0, 1000.0)? {
+        options.block_machines = machines as usize;
+    }
     let flag = |field: &str, default: bool| match message.get_field_by_name(field).as_deref() {
         Some(Value::Bool(value)) if message.has_field_by_name(field) => *value,
         _ => default,
