--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -318,7 +318,7 @@
                     stop: None,
                 }
             });
-            if !placed.committed {
+            if !placed.committed && placed.block == block {
                 placed.committed = true;
                 placed.since = now;
             }
--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -194,10 +194,7 @@
         let found = std::mem::take(&mut self.fleet.found);
         let unknown: Vec<Machine> = found
             .into_values()
-            .filter(|m| {
-                let known = self.machines.get(&m.id).is_some_and(|k| k.group.is_some());
-                !known && !self.is_expected(&m.id) && !self.gone.contains_key(&m.id)
-            })
+            .filter(|m| !self.is_grouped(&m.id) && !self.gone.contains_key(&m.id))
             .collect();
         if !unknown.is_empty() {
             tracing::info!(machines = unknown.len(), "machines that nobody expected are taken in");
@@ -443,7 +440,7 @@
         }
         let machines: BTreeMap<String, MemberRecord> = machines
             .iter()
-            .filter(|id| !self.gone.contains_key(id.as_str()))
+            .filter(|id| !self.gone.contains_key(id.as_str()) && !self.is_grouped(id))
             .map(|id| (id.clone(), MemberRecord::default()))
             .collect();
         if !machines.is_empty() {
--- a/crates/dapplecroft-controller/src/core/groups.rs
+++ b/crates/dapplecroft-controller/src/core/groups.rs
@@ -37,6 +37,14 @@
         self.groups.values().any(|g| g.version == 0 && g.record.machines.contains_key(machine))
     }
 
+    /// Whether a machine belongs to a group, committed or about to be. No
+    /// machine may join two: its block would change under the tasks on it. A
+    /// machine can report, or be listed, before the answer to its rental is
+    /// known, and is then taken in; the answer must not bring it a second time.
+    pub(super) fn is_grouped(&self, machine: &str) -> bool {
+        self.machines.get(machine).is_some_and(|m| m.group.is_some()) || self.is_expected(machine)
+    }
+
     /// The block that further machines join, and how many: the fullest with
     /// room left, else a new one.
     pub(super) fn block_with_room(&self, taken: &BTreeMap<u32, usize>) -> (u32, usize) {
--- a/crates/dapplecroft-controller/src/core/roles.rs
+++ b/crates/dapplecroft-controller/src/core/roles.rs
@@ -43,6 +43,7 @@
     pub fn lead(&mut self, version: u64) {
         self.role.leadership = Some(version);
         self.fleet = fleet::FleetState::default();
+        self.groups.retain(|_, g| g.version > 0);
         self.wakes.role = true;
     }
 
@@ -81,6 +82,7 @@
             }
         }
         self.fleet = fleet::FleetState::default();
+        self.groups.retain(|_, g| g.version > 0);
         self.unplaced.clear();
     }
 
