--- a/crates/dapplecroft-controller/src/core/admission.rs
+++ b/crates/dapplecroft-controller/src/core/admission.rs
@@ -78,6 +78,11 @@
         if left <= 0 {
             return;
         }
+        let need = job.need.clone();
+        let spare = job.failed_on.is_empty();
+        if round.is_full(None, &need) {
+            return self.admit_ahead(id, left, round, now);
+        }
         let constrained = job.spec.one_zone || job.spec.spread;
         let mut fits: Vec<Fit> = self
             .roomy
@@ -121,6 +126,9 @@
             }
         }
         if left > 0 && !constrained && round.left > 0 {
+            if spare {
+                round.full.push((None, need));
+            }
             self.admit_ahead(id, left, round, now);
         }
     }
@@ -144,7 +152,7 @@
     fn admit_ahead(&mut self, id: &Arc<str>, left: i64, round: &mut Round, now: Instant) {
         let Some(job) = self.open_job(id) else { return };
         let need = job.need.clone();
-        if need.amounts.cpus <= 0 {
+        if need.amounts.cpus <= 0 || job.spec.one_zone || job.spec.spread {
             return;
         }
         let part = if job.spec.priority < Rank::Normal { URGENT_BACKLOG } else { BACKLOG };
--- a/crates/dapplecroft-controller/src/core/displace.rs
+++ b/crates/dapplecroft-controller/src/core/displace.rs
@@ -72,11 +72,16 @@
             return;
         }
         self.displaced = Some(now);
+        let ranks = claimants.iter().filter_map(|u| self.open_job(&u.job)).map(|j| j.rank());
+        let best = ranks.min().unwrap_or(0);
         let guaranteed = self.guaranteed();
         let mut hosts: Vec<(Slot, Vec<TaskId>, Vec<Resident>)> = self
             .machines
             .values()
-            .filter(|m| self.is_holder(m.block) && !m.tasks.is_empty())
+            .filter(|m| {
+                let lower = |t: &TaskId| self.open_job(&t.job).is_some_and(|j| j.rank() > best);
+                self.is_holder(m.block) && m.tasks.iter().any(lower)
+            })
             .map(|m| {
                 let (tasks, residents) = self.residents(m, 0, Duration::MAX, now).into_iter().unzip();
                 (self.slot(m, now), tasks, residents)
@@ -108,19 +113,29 @@
                 })
                 .collect();
             choices.sort();
-            for (ran, index, victims) in choices.into_iter().take(wanted.max(0) as usize) {
-                if left < victims.len() {
-                    return;
+            let (mut stopped, mut lost) = (0, Duration::ZERO);
+            for (ran, index, victims) in choices {
+                if wanted <= 0 || left < victims.len() {
+                    break;
                 }
                 left -= victims.len();
+                stopped += victims.len();
+                lost += ran;
                 let (slot, tasks, residents) = &mut hosts[index];
                 for victim in victims {
                     residents[victim].leaving = true;
                     let task = tasks[victim].clone();
-                    tracing::info!(task = %task, for_job = %unplaced.job, ?claim, ?ran, "a task gives way");
+                    tracing::debug!(task = %task, for_job = %unplaced.job, "a task gives way");
                     self.stop(&task, Stop::Preempted);
                 }
-                slot.booked += need.amounts;
+                let leaving: dapplecroft_sched::Amounts =
+                    residents.iter().filter(|r| r.leaving).map(|r| r.need.amounts).sum();
+                let n = need.amounts.times_in(&(slot.room() + leaving)).clamp(1, wanted);
+                slot.booked += need.amounts.times(n);
+                wanted -= n;
+            }
+            if stopped > 0 {
+                tracing::info!(for_job = %unplaced.job, ?claim, tasks = stopped, ?lost, "tasks give way");
             }
         }
     }
--- a/crates/dapplecroft-controller/src/core/drain.rs
+++ b/crates/dapplecroft-controller/src/core/drain.rs
@@ -112,7 +112,7 @@
                     return None;
                 }
                 let fits = !self.candidates(id, job, block, &Default::default(), now).is_empty();
-                (!fits).then(|| (&**id, job.need.clone()))
+                (!fits).then(|| (&**id, (*job.need).clone()))
             })
             .collect();
         if waiting.is_empty() {
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -76,6 +76,27 @@
     pub behind: bool,
 }
 
+/// How things stand on a node.
+#[derive(Debug, Default, Clone)]
+pub struct Summary {
+    /// Whether it leads.
+    pub leads: bool,
+    /// Blocks that it holds.
+    pub blocks: usize,
+    /// Machines in them.
+    pub machines: usize,
+    /// Those that take work.
+    pub open_machines: usize,
+    /// Tasks booked on them.
+    pub placed: usize,
+    /// Tasks that wait in them.
+    pub waiting: u32,
+    /// Jobs that are not over, anywhere.
+    pub jobs: usize,
+    /// Tasks that no block has.
+    pub unadmitted: u32,
+}
+
 /// Jobs with something to commit, first come first served.
 #[derive(Debug, Default)]
 struct Queue {
@@ -307,6 +328,29 @@
         self.unbook(task, placed, amounts);
     }
 
+    /// How things stand, for the log.
+    pub fn summary(&self, now: Instant) -> Summary {
+        let silence = self.silence();
+        let mut summary = Summary {
+            leads: self.leads(now),
+            blocks: self.role.holdings.len(),
+            jobs: self.open.len(),
+            ..Summary::default()
+        };
+        for machine in self.machines.values() {
+            let Some(holding) = self.role.holdings.get(&machine.block) else { continue };
+            summary.machines += 1;
+            summary.open_machines += usize::from(machine.open(holding.epoch, silence, now));
+            summary.placed += machine.tasks.len();
+        }
+        for job in self.open.iter().filter_map(|id| self.open_job(id)) {
+            summary.unadmitted += job.unadmitted.len();
+            let own = job.waiting.iter().filter(|(b, _)| self.is_holder(**b));
+            summary.waiting += own.map(|(_, r)| r.len()).sum::<u32>();
+        }
+        summary
+    }
+
     /// Takes what loops have to be woken for.
     pub fn take_wakes(&mut self) -> Wakes {
         std::mem::take(&mut self.wakes)
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -56,14 +56,30 @@
     pub reserved: HashMap<Arc<str>, Amounts>,
     /// Processors of work that other holders have waiting, by block.
     pub backlog: BTreeMap<u32, i64>,
+    /// What found too little room in a block, or (`None`) in all blocks: room
+    /// only shrinks within a round, so what needs no less finds none either.
+    pub full: Vec<(Option<u32>, Arc<Need>)>,
     /// What teams will use once the work found no place for has one.
     pub books: HashMap<String, TeamBook>,
 }
 
+impl Round {
+    /// Whether it is known that a need finds no room any more.
+    pub fn is_full(&self, block: Option<u32>, need: &Need) -> bool {
+        self.full.iter().any(|(b, full)| {
+            (*b == block || b.is_none())
+                && full.amounts.fits(&need.amounts)
+                && (full.types.is_none() || full.types == need.types)
+                && (full.zone.is_none() || full.zone == need.zone)
+                && (full.spot || !need.spot)
+        })
+    }
+}
+
 /// Work that found no place: the job, and how much of it.
 pub(super) struct Unplaced {
     pub job: Arc<str>,
-    pub need: Need,
+    pub need: Arc<Need>,
     /// Tasks that wait in own blocks, or that any of them could take.
     pub here: i64,
     /// All tasks for which machines are wanted.
@@ -180,7 +196,7 @@
             self.unplaced = unplaced
                 .into_iter()
                 .filter(|u| u.count > 0)
-                .map(|u| Demand { need: u.need, count: u.count })
+                .map(|u| Demand { need: (*u.need).clone(), count: u.count })
                 .collect();
         }
     }
@@ -279,6 +295,9 @@
         }
         let before = waiting.len();
         let need = job.need.clone();
+        if round.is_full(Some(block), &need) {
+            return;
+        }
         if let Some((drain, _)) = self.drains.get(&block).cloned() {
             // What a drain moves goes where the drain says, if it still fits.
             for (_, index, _, to) in drain.moves.iter().filter(|(j, _, _, _)| *j == **id) {
@@ -324,6 +343,9 @@
             }
         }
         let placed = before - waiting.len();
+        if !waiting.is_empty() && !constrained && self.open_job(id).is_some_and(|j| j.failed_on.is_empty()) {
+            round.full.push((Some(block), need));
+        }
         if placed > 0 {
             round.left = round.left.saturating_sub(placed);
             self.rederive(id);
--- a/crates/dapplecroft-controller/src/jobs.rs
+++ b/crates/dapplecroft-controller/src/jobs.rs
@@ -87,7 +87,7 @@
     /// The specification.
     pub spec: JobSpec,
     /// What each task needs.
-    pub need: Need,
+    pub need: Arc<Need>,
     /// Chunks by number and block, with their versions.
     pub chunks: BTreeMap<(u32, u32), (ChunkRecord, u64)>,
     /// Tasks on machines or proposed.
@@ -151,7 +151,7 @@
             record,
             version,
             spec,
-            need,
+            need: Arc::new(need),
             chunks: BTreeMap::new(),
             placed: BTreeMap::new(),
             done: Ranges::default(),
--- a/crates/dapplecroft-controller/src/loops.rs
+++ b/crates/dapplecroft-controller/src/loops.rs
@@ -24,6 +24,7 @@
         loops.spawn(self.clone().fleet_loop());
         loops.spawn(self.clone().cloud_loop());
         loops.spawn(self.clone().health_loop());
+        loops.spawn(self.clone().summary_loop());
         let node = self.clone();
         loops.spawn(async move { node.committer.run(node.state.clone()).await });
         loops.join_next().await;
--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -17,6 +17,8 @@
 const TICK: Duration = Duration::from_secs(1);
 /// How often ends of tasks that wait for company are looked at.
 const LAZY_TICK: Duration = Duration::from_millis(100);
+/// How often a line says how things stand.
+const SUMMARY: Duration = Duration::from_secs(30);
 /// How long a worker has to answer direct commands.
 const COMMAND_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -93,6 +95,29 @@
         self.with(|core| core.unit_ended(&unit, UnitEnd::NotMade, now()));
     }
 
+    /// Says every half minute how things stand on this node.
+    pub(crate) async fn summary_loop(self: Arc<Self>) {
+        loop {
+            sleep(SUMMARY).await;
+            let s = self.with(|core| core.summary(now()));
+            tracing::info!(
+                leads = s.leads,
+                blocks = s.blocks,
+                machines = s.machines,
+                open = s.open_machines,
+                jobs = s.jobs,
+                unadmitted = s.unadmitted,
+                waiting = s.waiting,
+                placed = s.placed,
+                changes_waiting = self.committer.waiting(),
+                write_room = format!("{:.2}", self.state.write_room()),
+                request_room = format!("{:.2}", self.state.request_room()),
+                users = self.requests.load(std::sync::atomic::Ordering::Relaxed),
+                "how things stand"
+            );
+        }
+    }
+
     /// Sends direct commands to the machines that have some to receive.
     pub(crate) async fn command_loop(self: Arc<Self>) {
         loop {
--- a/crates/dapplecroft-controller/src/users.rs
+++ b/crates/dapplecroft-controller/src/users.rs
@@ -170,7 +170,7 @@
             conditions: vec![Condition { key: key.clone(), version: 0 }],
             changes: vec![Change::Set { key, value, lease: None }],
         };
-        match self.committer.commit(unit.clone()).await {
+        match self.committer.commit_first(unit.clone()).await {
             UnitResult::Committed(revision) => {
                 self.with(|core| core.apply_changes(&unit.changes, revision, now()));
                 let status = JobStatus { id, stage: Stage::Queued, done: None, running: None };
@@ -235,7 +235,7 @@
                 conditions: vec![Condition { key: key.clone(), version }],
                 changes: vec![Change::Set { key, value, lease: None }],
             };
-            match self.committer.commit(unit.clone()).await {
+            match self.committer.commit_first(unit.clone()).await {
                 UnitResult::Committed(revision) => {
                     let status = self.with(|core| {
                         core.apply_changes(&unit.changes, revision, now());
--- a/crates/dapplecroft-sched/src/repack.rs
+++ b/crates/dapplecroft-sched/src/repack.rs
@@ -2,6 +2,7 @@
 //! fuller ones so that a waiting task, which fits nowhere, can start there.
 
 use crate::{Need, Slot};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A task on a machine.
@@ -10,7 +11,7 @@
     /// Index of its slot.
     pub slot: usize,
     /// What it needs.
-    pub need: Need,
+    pub need: Arc<Need>,
     /// How long it has run.
     pub ran: Duration,
     /// Whether it may be moved at all.
@@ -139,7 +140,7 @@
     pub(crate) fn resident(slot: usize, cpus: f64, ran: u64) -> Resident {
         Resident {
             slot,
-            need: need(cpus),
+            need: need(cpus).into(),
             ran: Duration::from_secs(ran),
             movable: true,
             leaving: false,
--- a/crates/dapplecroft-state/src/committer.rs
+++ b/crates/dapplecroft-state/src/committer.rs
@@ -41,6 +41,7 @@
     unit: Unit,
     bytes: usize,
     reply: oneshot::Sender<UnitResult>,
+    first: bool,
 }
 
 /// Collects units and commits them in groups.
@@ -65,6 +66,15 @@
 
     /// Queues a unit and waits for its result.
     pub async fn commit(&self, unit: Unit) -> UnitResult {
+        self.enqueue(unit, false).await
+    }
+
+    /// The same, ahead of what is queued already: a user waits for it.
+    pub async fn commit_first(&self, unit: Unit) -> UnitResult {
+        self.enqueue(unit, true).await
+    }
+
+    async fn enqueue(&self, unit: Unit, first: bool) -> UnitResult {
         let (reply, result) = oneshot::channel();
         let bytes =
             serde_json::to_vec(&unit.changes).map_or(MAX_BYTES, |v| v.len()) + 80 * unit.conditions.len();
@@ -73,7 +83,14 @@
             if queue.len() >= self.bound {
                 return UnitResult::Refused("too many changes waiting".into());
             }
-            queue.push_back(Waiting { unit, bytes, reply });
+            let waiting = Waiting { unit, bytes, reply, first };
+            if first {
+                // Behind those that came first in the same way.
+                let at = queue.iter().position(|w| !w.first).unwrap_or(queue.len());
+                queue.insert(at, waiting);
+            } else {
+                queue.push_back(waiting);
+            }
         }
         self.wake.notify_one();
         result.await.unwrap_or_else(|_| UnitResult::Unknown("committer ended".into()))
