--- a/crates/dapplecroft-controller/src/core/admission.rs
+++ b/crates/dapplecroft-controller/src/core/admission.rs
@@ -15,7 +15,7 @@
 /// Part of a block's processors for which work may wait there, so that its
 /// holder fills what becomes free without asking; more for urgent work, for
 /// which other work gives way there.
-const BACKLOG: i64 = 16;
+const BACKLOG: i64 = 8;
 const URGENT_BACKLOG: i64 = 4;
 
 /// What a block could start of a job.
@@ -38,11 +38,11 @@
         for id in &self.waiting {
             let Some(job) = self.open_job(id) else { continue };
             for (block, waiting) in &job.waiting {
+                let count = i64::from(waiting.len());
+                *round.backlog.entry(*block).or_default() += job.need.amounts.cpus * count;
                 if self.is_holder(*block) {
                     continue;
                 }
-                let count = i64::from(waiting.len());
-                *round.backlog.entry(*block).or_default() += job.need.amounts.cpus * count;
                 self.reserve(id, job, *block, count, round, now);
             }
         }
@@ -140,44 +140,56 @@
         *own = own.union(&ranges);
         self.rederive(id);
         self.mark_dirty(id);
+        let Some(job) = self.open_job(id) else { return };
         if !self.is_holder(block) {
-            let Some(job) = self.open_job(id) else { return };
             self.reserve(id, job, block, i64::from(count), round, now);
+        }
+        if !self.is_holder(block) || round.scarce {
             *round.backlog.entry(block).or_default() += job.need.amounts.cpus * i64::from(count);
         }
     }
 
-    /// Admits a little of what fits nowhere now to another holder's block,
-    /// where it starts as soon as something there becomes free.
+    /// How many processors each block has that are up.
+    pub(super) fn measure_blocks(&self, round: &mut Round) {
+        for machine in self.machines.values().filter(|m| m.seems_open()) {
+            *round.sizes.entry(machine.block).or_default() += machine.capacity.cpus;
+        }
+    }
+
+    /// Admits a little of what fits nowhere now to a block where it starts as
+    /// soon as something there becomes free. The leader needs no such stock in
+    /// its own blocks, unless changes are scarce: then a job that is admitted
+    /// in larger ranges takes fewer of them.
     fn admit_ahead(&mut self, id: &Arc<str>, left: i64, round: &mut Round, now: Instant) {
         let Some(job) = self.open_job(id) else { return };
         let need = job.need.clone();
-        if need.amounts.cpus <= 0 || job.spec.one_zone || job.spec.spread {
+        let cpus = need.amounts.cpus;
+        let limited = job.spec.one_zone || job.spec.spread || need.types.is_some() || need.zone.is_some();
+        if cpus <= 0 || limited || !need.spot || round.ahead_full.is_some_and(|c| cpus >= c) {
             return;
         }
-        let part = if job.spec.priority < Rank::Normal { URGENT_BACKLOG } else { BACKLOG };
-        let free = |block: u32| -> i64 {
-            let size: i64 = self
-                .roomy
-                .get(&block)
-                .into_iter()
-                .flatten()
-                .filter_map(|(_, name)| self.machines.get(name))
-                .filter(|m| m.seems_open() && need.allows(&m.machine_type, &m.zone, m.spot))
-                .filter(|m| need.amounts.fits(&m.capacity))
-                .map(|m| m.capacity.cpus)
-                .sum();
-            size / part - round.backlog.get(&block).copied().unwrap_or(0)
-        };
-        let best = self
-            .roomy
-            .keys()
-            .copied()
-            .filter(|b| !self.is_holder(*b) && self.is_served(*b))
-            .map(|b| (free(b) / need.amounts.cpus, std::cmp::Reverse(b)))
+        let Some(book) = self.teams.get(&job.spec.team) else { return };
+        // What waits in a block is taken from the team's limit: not all of it.
+        let unlimited = book.limit.cpus == 0 && book.limit.gpus == 0;
+        let left = if unlimited { left } else { left.min(book.headroom(&need.amounts) / 2) };
+        let urgent = job.spec.priority < Rank::Normal;
+        let part = if urgent { URGENT_BACKLOG } else { BACKLOG };
+        let best = round
+            .sizes
+            .iter()
+            .filter(|(b, _)| self.is_served(**b) && (round.scarce || !self.is_holder(**b)))
+            .map(|(b, size)| {
+                let free = size / part - round.backlog.get(b).copied().unwrap_or(0);
+                (job.record.admitted.contains_key(b), free / cpus, std::cmp::Reverse(*b))
+            })
+            .filter(|(_, n, _)| *n > 0)
             .max();
-        if let Some((most, std::cmp::Reverse(block))) = best.filter(|(n, _)| *n > 0) {
-            self.admit_to(id, block, left.min(most) as u32, round, now);
+        match best {
+            Some((_, most, std::cmp::Reverse(block))) if left > 0 => {
+                self.admit_to(id, block, left.min(most) as u32, round, now);
+            }
+            None if !urgent => round.ahead_full = Some(cpus),
+            _ => {}
         }
     }
 
--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -14,6 +14,9 @@
 /// Ends of tasks that leave their job unfinished wait this long for others to
 /// share a change with, while changes are scarce.
 const LAZY: Duration = Duration::from_secs(2);
+/// They wait longer for admissions and placements, but not for ever: a worker
+/// lists its tasks until their ends are committed.
+const LAZIEST: Duration = Duration::from_secs(8);
 
 /// A unit of a job's changes.
 #[derive(Debug, Clone)]
@@ -46,22 +49,27 @@
 }
 
 impl Core {
-    /// The next unit to commit, of any job that has none on its way. While
-    /// changes are plenty (`relaxed`) nothing waits for company.
+    /// The next unit to commit, of any job that has none on its way. What ends
+    /// jobs goes first, then admissions and placements. Ends of other tasks
+    /// wait for company, unless changes are plenty (`relaxed`).
     pub fn next_unit(&mut self, relaxed: bool, now: Instant) -> Option<JobUnit> {
         if !self.has_role() {
             return None;
         }
-        while let Some((since, _)) = self.lazy.front() {
-            if !relaxed && now.saturating_duration_since(*since) < LAZY {
-                break;
-            }
-            if let Some((_, id)) = self.lazy.pop_front() {
-                self.dirty.push(&id);
-            }
-        }
         loop {
-            let id = self.dirty.pop()?;
+            let age = self.lazy.front().map(|(since, _)| now.saturating_duration_since(*since));
+            let due = |least: Duration| age.is_some_and(|a| a >= least);
+            let id = if let Some(id) = self.first.pop() {
+                id
+            } else if due(LAZIEST) {
+                self.lazy.pop_front()?.1
+            } else if let Some(id) = self.dirty.pop() {
+                id
+            } else if due(if relaxed { Duration::ZERO } else { LAZY }) {
+                self.lazy.pop_front()?.1
+            } else {
+                return None;
+            };
             // One that is on its way is looked at again when it has ended.
             if self.open_job(&id).is_none_or(|j| j.committing.is_some()) {
                 continue;
@@ -81,7 +89,7 @@
     }
 
     /// Whether a job's ends, once committed, would end the job.
-    fn ends_job(&self, job: &OpenJob) -> bool {
+    pub(super) fn ends_job(&self, job: &OpenJob) -> bool {
         let more = job.exits.values().filter(|e| e.done).count() as u32;
         job.done.len() + more >= job.record.tasks
     }
--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -258,6 +258,7 @@
         }
         self.open.remove(id);
         self.waiting.remove(id);
+        self.first.remove(id);
         self.dirty.remove(id);
     }
 
@@ -399,7 +400,7 @@
             if let Some(block) = self.roomy.get_mut(&block) {
                 block.remove(&(room, id.clone()));
             }
-            self.machines.remove(&id);
+            self.machines.swap_remove(&id);
         }
     }
 
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -27,6 +27,8 @@
 use dapplecroft_sched::{Amounts, Demand, Teams};
 use dapplecroft_wire::cloud::Catalog;
 use dapplecroft_wire::settings::Settings;
+use foldhash::fast::RandomState;
+use indexmap::IndexMap;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Instant;
@@ -137,23 +139,25 @@
     pub loaded: bool,
     /// Revision up to which changes are known.
     pub followed: u64,
-    versions: HashMap<String, u64>,
+    versions: HashMap<String, u64, RandomState>,
     dropped: HashMap<String, u64>,
     /// Jobs.
-    pub jobs: HashMap<Arc<str>, Job>,
+    pub jobs: HashMap<Arc<str>, Job, RandomState>,
     /// Jobs that are not final.
     pub open: BTreeSet<Arc<str>>,
     /// Jobs that have waiting tasks.
     pub waiting: BTreeSet<Arc<str>>,
-    /// Jobs with something to commit.
+    /// Jobs that are over, or withdrawn, with something to commit.
+    first: Queue,
+    /// Jobs with admissions or placements to commit.
     dirty: Queue,
     /// Jobs with nothing but ends of tasks to commit, since when.
     lazy: VecDeque<(Instant, Arc<str>)>,
     units: u64,
     /// Withdrawn jobs about which something earlier may not be known yet.
     unsettled: BTreeSet<Arc<str>>,
-    /// Machines.
-    pub machines: BTreeMap<Arc<str>, Machine>,
+    /// Machines, in an order that does not hang on chance.
+    pub machines: IndexMap<Arc<str>, Machine, RandomState>,
     /// Machines of each block by what is free of their processors, so that a
     /// task looks only at those where it may fit.
     roomy: BTreeMap<u32, BTreeSet<(i64, Arc<str>)>>,
@@ -198,16 +202,17 @@
             identity,
             loaded: false,
             followed: 0,
-            versions: HashMap::new(),
+            versions: HashMap::default(),
             dropped: HashMap::new(),
-            jobs: HashMap::new(),
+            jobs: HashMap::default(),
             open: BTreeSet::new(),
             waiting: BTreeSet::new(),
+            first: Queue::default(),
             dirty: Queue::default(),
             lazy: VecDeque::new(),
             units: 0,
             unsettled: BTreeSet::new(),
-            machines: BTreeMap::new(),
+            machines: IndexMap::default(),
             roomy: BTreeMap::new(),
             groups: BTreeMap::new(),
             teams,
@@ -283,10 +288,20 @@
 
     /// Asks for a commit of what a job has to commit.
     fn mark_dirty(&mut self, id: &Arc<str>) {
-        self.dirty.push(id);
+        let over = self.open_job(id).is_some_and(|j| !j.is_open() || self.ends_job(j));
+        if over {
+            self.first.push(id);
+        } else {
+            self.dirty.push(id);
+        }
         self.wakes.flush = true;
     }
 
+    /// How many jobs have admissions or placements that wait to be committed.
+    pub fn backed_up(&self) -> usize {
+        self.dirty.members.len()
+    }
+
     /// A job that is not over.
     pub fn open_job(&self, id: &str) -> Option<&OpenJob> {
         match self.jobs.get(id) {
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -59,6 +59,12 @@
     /// What found too little room in a block, or (`None`) in all blocks: room
     /// only shrinks within a round, so what needs no less finds none either.
     pub full: Vec<(Option<u32>, Arc<Need>)>,
+    /// Processors of the machines that are up, by block.
+    pub sizes: BTreeMap<u32, i64>,
+    /// No other holder takes ahead what needs as many processors.
+    pub ahead_full: Option<i64>,
+    /// Whether changes of records are scarce.
+    pub scarce: bool,
     /// What teams will use once the work found no place for has one.
     pub books: HashMap<String, TeamBook>,
 }
@@ -159,15 +165,17 @@
     }
 
     /// One round. Proposals become commands only once they are committed.
-    /// `wall` is the time of day in seconds since 1970.
-    pub fn place(&mut self, wall: f64, now: Instant) {
+    /// `wall` is the time of day in seconds since 1970; `scarce` says that few
+    /// changes of records can be made just now.
+    pub fn place(&mut self, wall: f64, scarce: bool, now: Instant) {
         if !self.loaded || !self.has_role() || !self.in_contact(now) || self.catalog.is_none() {
             return;
         }
         let leads = self.leads(now);
         let order = self.serving_order(wall, now);
-        let mut round = Round { left: MAX_PER_ROUND, ..Round::default() };
+        let mut round = Round { left: MAX_PER_ROUND, scarce, ..Round::default() };
         if leads {
+            self.measure_blocks(&mut round);
             self.reserve_backlog(&mut round, now);
         }
         let mut unplaced = Vec::new();
--- a/crates/dapplecroft-controller/src/core/roles.rs
+++ b/crates/dapplecroft-controller/src/core/roles.rs
@@ -137,6 +137,6 @@
             0 => f64::from(u8::from(self.role.leadership.is_some())),
             _ => own as f64 / all as f64,
         };
-        0.45 / nodes + 0.11 * f64::from(u8::from(self.role.leadership.is_some())) + 0.44 * held
+        0.24 / nodes + 0.22 * f64::from(u8::from(self.role.leadership.is_some())) + 0.54 * held
     }
 }
--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -31,8 +31,16 @@
             let _ = timeout(TICK, self.wake_place.notified()).await;
             let began = now();
             let wall = self.wall_seconds();
+            // While decisions wait to be recorded, the next round waits too, and
+            // decides more at a time.
+            let scarce = self.state.write_room() < 0.3;
+            if self.with(|core| core.backed_up()) > 2 * self.committer.group_size() {
+                sleep(LONGEST_ROUND / 2).await;
+                self.wake_place.notify_one();
+                continue;
+            }
             let unit = self.with(|core| {
-                core.place(wall, now());
+                core.place(wall, scarce, now());
                 core.drain_step(now())
             });
             if let Some(unit) = unit {
@@ -53,12 +61,26 @@
     pub(crate) async fn flush_loop(self: Arc<Self>) {
         loop {
             let relaxed = self.state.write_room() > 0.5;
-            while let Some(unit) = self.with(|core| core.next_unit(relaxed, now())) {
+            // Units are put together when they can go, so that each has all that
+            // its job has to commit by then.
+            while self.committer.waiting() < self.committer.group_size() {
+                let Some(unit) = self.with(|core| core.next_unit(relaxed, now())) else { break };
                 let node = self.clone();
-                self.spawn(async move { node.commit_job(unit).await });
+                // It joins the queue at its first poll.
+                let (queued, joined) = tokio::sync::oneshot::channel();
+                self.spawn(async move {
+                    let _ = queued.send(());
+                    node.commit_job(unit).await;
+                });
+                let _ = joined.await;
             }
             let lazy = self.with(|core| core.has_lazy());
-            let _ = timeout(if lazy { LAZY_TICK } else { TICK }, self.wake_flush.notified()).await;
+            let pause = if lazy { LAZY_TICK } else { TICK };
+            tokio::select! {
+                () = self.wake_flush.notified() => {}
+                () = self.committer.taken() => {}
+                () = sleep(pause) => {}
+            }
         }
     }
 
--- a/crates/dapplecroft-net/src/budget.rs
+++ b/crates/dapplecroft-net/src/budget.rs
@@ -47,6 +47,14 @@
         }
     }
 
+    /// How long until `units` can be taken without waiting.
+    pub fn wait_for(&self, units: f64) -> Duration {
+        let mut inner = self.lock();
+        inner.refill();
+        let lacking = units.min(inner.rate) - inner.level;
+        Duration::from_secs_f64((lacking / inner.rate).clamp(0.0, 60.0))
+    }
+
     /// What is left of a burst: 1 all of it, 0 or less none.
     pub fn room(&self) -> f64 {
         let mut inner = self.lock();
--- a/crates/dapplecroft-state/src/committer.rs
+++ b/crates/dapplecroft-state/src/committer.rs
@@ -48,6 +48,7 @@
 pub struct Committer {
     queue: Mutex<VecDeque<Waiting>>,
     wake: Notify,
+    taken: Notify,
     max_changes: usize,
     bound: usize,
 }
@@ -56,7 +57,7 @@
     /// A committer for transactions of up to `max_changes`; it refuses units
     /// once `bound` are waiting.
     pub fn new(max_changes: usize, bound: usize) -> Self {
-        Committer { queue: Mutex::default(), wake: Notify::new(), max_changes, bound }
+        Committer { queue: Mutex::default(), wake: Notify::new(), taken: Notify::new(), max_changes, bound }
     }
 
     /// How many units are waiting.
@@ -64,6 +65,16 @@
         self.lock().len()
     }
 
+    /// Waits until a group was taken from the queue.
+    pub async fn taken(&self) {
+        self.taken.notified().await;
+    }
+
+    /// How many units a group holds at most, about.
+    pub fn group_size(&self) -> usize {
+        (self.max_changes / 2).max(1)
+    }
+
     /// Queues a unit and waits for its result.
     pub async fn commit(&self, unit: Unit) -> UnitResult {
         self.enqueue(unit, false).await
@@ -99,11 +110,14 @@
     /// Commits what is queued, for ever.
     pub async fn run(&self, client: Arc<StateClient>) {
         loop {
-            let group = self.next_group();
-            if group.is_empty() {
+            if self.waiting() == 0 {
                 self.wake.notified().await;
                 continue;
             }
+            // What joins the queue while changes have to be waited for goes along.
+            client.wait_for_writes().await;
+            let group = self.next_group();
+            self.taken.notify_one();
             self.commit_group(&client, group).await;
             // Requests are scarce: the next group waits for company.
             if client.request_room() < 0.5 {
--- a/crates/dapplecroft-state/src/lib.rs
+++ b/crates/dapplecroft-state/src/lib.rs
@@ -57,6 +57,14 @@
         self.writes.room()
     }
 
+    /// Waits until a few changes can be made.
+    pub(crate) async fn wait_for_writes(&self) {
+        let wait = self.writes.wait_for(3.0);
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+    }
+
     /// The same for requests.
     pub fn request_room(&self) -> f64 {
         self.requests.room()
