--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -129,6 +129,10 @@
                 if placed.committed || placed.block != block || job.exits.contains_key(index) {
                     continue;
                 }
+                // The leader may have taken it back since it was proposed.
+                if !job.admits(block, *index) {
+                    continue;
+                }
                 // A value has a limit: what does not fit waits for its turn.
                 size += placed.machine.len() + 34;
                 if size as f64 > most {
@@ -344,6 +348,7 @@
                 self.drop_proposals(&unit.job, None);
             }
         }
+        self.drop_unadmitted(&unit.job);
         let holdings = &self.role.holdings;
         let Some(Job::Open(job)) = self.jobs.get(&unit.job) else { return };
         let blocks: BTreeSet<u32> = job.placed.values().filter(|p| !p.committed).map(|p| p.block).collect();
--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -205,6 +205,9 @@
         self.wakes.place = true;
         self.stop_withdrawn(&id);
         self.rederive(&id);
+        if self.open_job(&id).is_some_and(|j| j.committing.is_none()) {
+            self.drop_unadmitted(&id);
+        }
         self.finish_if_over(&id);
     }
 
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -332,6 +332,25 @@
         self.rederive(id);
     }
 
+    /// Takes back proposals for tasks that the leader has taken back since from
+    /// the block: the record that they would be bound to no longer allows them.
+    fn drop_unadmitted(&mut self, id: &Arc<str>) {
+        let Some(job) = self.open_job(id) else { return };
+        let void: Vec<(u32, Placed)> = job
+            .placed
+            .iter()
+            .filter(|(index, p)| !p.committed && !job.admits(p.block, **index))
+            .map(|(i, p)| (*i, p.clone()))
+            .collect();
+        if void.is_empty() {
+            return;
+        }
+        for (index, placed) in void {
+            self.withdraw_proposal(&TaskId { job: id.clone(), index }, &placed);
+        }
+        self.rederive(id);
+    }
+
     /// Takes back a proposed placement; the caller derives the job anew.
     fn withdraw_proposal(&mut self, task: &TaskId, placed: &Placed) {
         let Some(job) = self.open_job_mut(&task.job) else { return };
--- a/crates/dapplecroft-controller/src/jobs.rs
+++ b/crates/dapplecroft-controller/src/jobs.rs
@@ -233,6 +233,12 @@
         index / self.record.chunk.max(1)
     }
 
+    /// Whether a task is admitted to a block, or is being admitted.
+    pub fn admits(&self, block: u32, index: u32) -> bool {
+        let within = |ranges: &BTreeMap<u32, Ranges>| ranges.get(&block).is_some_and(|r| r.contains(index));
+        within(&self.record.admitted) || within(&self.admitting)
+    }
+
     /// How many tasks wait in a block.
     pub fn waiting_in(&self, block: u32) -> u32 {
         self.waiting.get(&block).map_or(0, Ranges::len)
--- a/crates/dapplecroft-state/src/committer.rs
+++ b/crates/dapplecroft-state/src/committer.rs
@@ -137,7 +137,24 @@
             }
             transaction.changes.extend(waiting.unit.changes.iter().cloned());
         }
-        match client.transact(&transaction, false).await {
+        let began = tokio::time::Instant::now();
+        let outcome = client.transact(&transaction, false).await;
+        let verdict = match &outcome {
+            Outcome::Done(Verdicts::Committed(_)) => "made",
+            Outcome::Done(Verdicts::Conflict(_)) => "in conflict",
+            Outcome::Refused(_) => "refused",
+            Outcome::Unknown(_) => "unknown",
+        };
+        tracing::debug!(
+            units = group.len(),
+            changes = transaction.changes.len(),
+            conditions = transaction.conditions.len(),
+            left = self.waiting(),
+            took = ?began.elapsed(),
+            verdict,
+            "changes committed together"
+        );
+        match outcome {
             Outcome::Done(Verdicts::Committed(revision)) => {
                 finish(group, |_| UnitResult::Committed(revision));
             }
