--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -34,7 +34,7 @@
             // While decisions wait to be recorded, the next round waits too, and
             // decides more at a time.
             let scarce = self.state.write_room() < 0.3;
-            if self.with(|core| core.backed_up()) > 2 * self.committer.group_size() {
+            if self.with(|core| core.backed_up()) > 2 * self.committer.enough() {
                 sleep(LONGEST_ROUND / 2).await;
                 self.wake_place.notify_one();
                 continue;
@@ -63,7 +63,7 @@
             let relaxed = self.state.write_room() > 0.5;
             // Units are put together when they can go, so that each has all that
             // its job has to commit by then.
-            while self.committer.waiting() < self.committer.group_size() {
+            while self.committer.waiting() < self.committer.enough() {
                 let Some(unit) = self.with(|core| core.next_unit(relaxed, now())) else { break };
                 let node = self.clone();
                 // It joins the queue at its first poll.
--- a/crates/dapplecroft-net/src/budget.rs
+++ b/crates/dapplecroft-net/src/budget.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Units a second.
+    pub fn rate(&self) -> f64 {
+        self.lock().rate
+    }
+
     /// How long until `units` can be taken without waiting.
     pub fn wait_for(&self, units: f64) -> Duration {
         let mut inner = self.lock();
--- a/crates/dapplecroft-state/src/committer.rs
+++ b/crates/dapplecroft-state/src/committer.rs
@@ -12,6 +12,8 @@
 /// The largest transaction that is put together, well under the service's limit.
 const MAX_BYTES: usize = 48 * 1024;
 
+/// A group has the changes that this node may make in about so many seconds.
+const GROUP_SECONDS: f64 = 0.5;
 /// How long a group gathers while requests are scarce.
 const GATHER: Duration = Duration::from_millis(50);
 
@@ -70,9 +72,9 @@
         self.taken.notified().await;
     }
 
-    /// How many units a group holds at most, about.
-    pub fn group_size(&self) -> usize {
-        (self.max_changes / 2).max(1)
+    /// How many units may wait before it is better to put none together yet.
+    pub fn enough(&self) -> usize {
+        (self.max_changes / 4).max(2)
     }
 
     /// Queues a unit and waits for its result.
@@ -115,8 +117,12 @@
                 continue;
             }
             // What joins the queue while changes have to be waited for goes along.
-            client.wait_for_writes().await;
-            let group = self.next_group();
+            // Small groups, often: a large one waits longer, is refused sooner
+            // since the service's bursts are shared, and one outdated condition
+            // spoils it for more.
+            let most = ((client.write_rate() * GROUP_SECONDS) as usize).clamp(2, self.max_changes);
+            client.wait_for_writes(most.min(self.waiting()) as f64).await;
+            let group = self.next_group(most);
             self.taken.notify_one();
             self.commit_group(&client, group).await;
             // Requests are scarce: the next group waits for company.
@@ -138,7 +144,7 @@
             transaction.changes.extend(waiting.unit.changes.iter().cloned());
         }
         let began = tokio::time::Instant::now();
-        let outcome = client.transact(&transaction, false).await;
+        let outcome = client.transact(&transaction, true).await;
         let verdict = match &outcome {
             Outcome::Done(Verdicts::Committed(_)) => "made",
             Outcome::Done(Verdicts::Conflict(_)) => "in conflict",
@@ -186,7 +192,7 @@
         }
     }
 
-    fn next_group(&self) -> Vec<Waiting> {
+    fn next_group(&self, most: usize) -> Vec<Waiting> {
         let mut queue = self.lock();
         let mut group: Vec<Waiting> = Vec::new();
         let (mut changes, mut bytes) = (0, 0);
@@ -199,7 +205,7 @@
                     written.contains(&c.key) || conditions.get(&c.key).is_some_and(|v| *v != c.version)
                 });
             let fresh = unit.conditions.iter().filter(|c| !conditions.contains_key(&c.key)).count();
-            let full = changes + unit.changes.len() > self.max_changes
+            let full = changes + unit.changes.len() > most
                 || conditions.len() + fresh > 4 * self.max_changes
                 || bytes + next.bytes > MAX_BYTES;
             // A unit that is too large by itself still goes, and is refused there.
--- a/crates/dapplecroft-state/src/lib.rs
+++ b/crates/dapplecroft-state/src/lib.rs
@@ -57,9 +57,14 @@
         self.writes.room()
     }
 
-    /// Waits until a few changes can be made.
-    pub(crate) async fn wait_for_writes(&self) {
-        let wait = self.writes.wait_for(3.0);
+    /// Changes that this node may make a second.
+    pub(crate) fn write_rate(&self) -> f64 {
+        self.writes.rate()
+    }
+
+    /// Waits until so many changes can be made.
+    pub(crate) async fn wait_for_writes(&self, changes: f64) {
+        let wait = self.writes.wait_for(changes);
         if !wait.is_zero() {
             tokio::time::sleep(wait).await;
         }
