--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -4,7 +4,7 @@
 use crate::machines::{Fate, Machine};
 use crate::records::{self, GroupRecord, MemberRecord};
 use dapplecroft_cloud::MAX_RENT;
-use dapplecroft_sched::{Amounts, Offer, Rooms, plan_rentals};
+use dapplecroft_sched::{Amounts, Need, Offer, Rooms, plan_rentals};
 use dapplecroft_wire::cloud::{Catalog, ListedMachine, RentRequest};
 use dapplecroft_wire::workers::Report;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -226,6 +226,23 @@
         }
     }
 
+    /// What work waits that may start as far as its team's limit goes: machines
+    /// that it fits on are not returned, however long they have been idle.
+    fn wanted_needs(&self) -> Vec<Arc<Need>> {
+        let mut needs: Vec<Arc<Need>> = Vec::new();
+        for job in self.waiting.iter().filter_map(|id| self.open_job(id)) {
+            let admitted = !job.waiting.is_empty();
+            let may = admitted || self.teams.get(&job.spec.team).is_some_and(|b| b.admits(&job.need.amounts));
+            let covered = needs.iter().any(|n| {
+                n.types.is_none() && n.zone.is_none() && n.spot && n.amounts.fits(&job.need.amounts)
+            });
+            if may && job.failures == 0 && !covered {
+                needs.push(job.need.clone());
+            }
+        }
+        needs
+    }
+
     /// Decides the fate of each machine of own blocks, and which are to be
     /// probed; returns those that are due to be released.
     fn judge_machines(&mut self, actions: &mut FleetActions, now: Instant) -> BTreeSet<Arc<str>> {
@@ -234,6 +251,7 @@
         let boots: BTreeMap<String, Duration> =
             hulls.map(|h| (h.name.clone(), self.boot_time(&h.name))).collect();
         let idle = self.idle_times();
+        let wanted = self.wanted_needs();
         let holdings = &self.role.holdings;
         let own = |m: &Machine| m.group.is_some() && holdings.contains_key(&m.block);
         let mut probes = self.machines.values().filter(|m| own(m) && m.probing).count();
@@ -275,7 +293,11 @@
                 let kind = (machine.machine_type.clone(), machine.spot);
                 let usual = idle.get(&kind).copied().unwrap_or(report);
                 let keep = self.options.idle_return.unwrap_or(usual).max(MIN_PAID.saturating_sub(age));
-                let unused = machine.idle_since.is_some_and(|at| now.saturating_duration_since(at) > keep);
+                let unused = machine.idle_since.is_some_and(|at| now.saturating_duration_since(at) > keep)
+                    && !wanted.iter().any(|need| {
+                        need.allows(&machine.machine_type, &machine.zone, machine.spot)
+                            && need.amounts.fits(&machine.capacity)
+                    });
                 if machine.failed_jobs.len() >= 2 {
                     tracing::info!(machine = &*machine.id, "tasks of several jobs failed: quarantined");
                     machine.fate = Fate::Returning;
--- a/crates/dapplecroft-state/src/committer.rs
+++ b/crates/dapplecroft-state/src/committer.rs
@@ -154,6 +154,7 @@
         tracing::debug!(
             units = group.len(),
             changes = transaction.changes.len(),
+            keys = ?transaction.changes.iter().map(Change::key).collect::<Vec<_>>(),
             conditions = transaction.conditions.len(),
             left = self.waiting(),
             took = ?began.elapsed(),
