--- a/crates/dapplecroft-controller/src/core/admission.rs
+++ b/crates/dapplecroft-controller/src/core/admission.rs
@@ -72,6 +72,11 @@
     /// since each costs records of its own; and a little of what can't yet.
     pub(super) fn admit(&mut self, id: &Arc<str>, round: &mut Round, now: Instant) {
         let Some(job) = self.open_job(id).filter(|j| j.is_open() && !j.unadmitted.is_empty()) else { return };
+        if job.revoked > self.followed {
+            // What was taken back from a block may have been placed there just
+            // before: that is known once the copy has caught up.
+            return;
+        }
         let Some(book) = self.teams.get(&job.spec.team) else { return };
         let headroom = book.headroom(&job.need.amounts);
         let mut left = i64::from(job.unadmitted.len()).min(headroom);
@@ -139,7 +144,7 @@
         let own = job.admitting.entry(block).or_default();
         *own = own.union(&ranges);
         self.rederive(id);
-        self.mark_dirty(id);
+        self.mark_job(id);
         let Some(job) = self.open_job(id) else { return };
         if !self.is_holder(block) {
             self.reserve(id, job, block, i64::from(count), round, now);
@@ -237,7 +242,7 @@
                 *own = own.union(&ranges);
             }
             self.rederive(id);
-            self.mark_dirty(id);
+            self.mark_job(id);
         }
     }
 }
--- a/crates/dapplecroft-controller/src/core/blocks.rs
+++ b/crates/dapplecroft-controller/src/core/blocks.rs
@@ -1,7 +1,7 @@
 //! Leases of machine blocks: which the leader gives to whom, and what a holder
 //! does when it gains or loses one.
 
-use super::{Core, drain};
+use super::{Core, Subject, drain};
 use crate::jobs::Job;
 use crate::records::{self, BlockRecord};
 use dapplecroft_wire::state::{Change, Condition, Transaction};
@@ -199,10 +199,11 @@
             let Some(Job::Open(job)) = self.jobs.get_mut(&id) else { continue };
             let placed = &job.placed;
             job.exits.retain(|i, _| placed.get(i).is_none_or(|p| p.block != block));
-            if job.committing.is_none() && job.placed.values().any(|p| !p.committed && p.block == block) {
-                self.drop_proposals(&id, Some(block));
-            }
         }
+        if !self.on_way.contains_key(&Subject::Block(block)) {
+            self.drop_proposals_in(block);
+        }
+        self.lazy.retain(|(_, b)| *b != block);
         let machines = &self.machines;
         self.ghosts.retain(|_, on| machines.get(on).is_none_or(|m| m.block != block));
         for machine in self.machines.values_mut().filter(|m| m.block == block) {
--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -1,13 +1,14 @@
-//! What of a job has to be committed, as units that are made whole or not at all.
+//! What has to be committed, as units that are made whole or not at all: of a
+//! job by the leader, of a block by its holder.
 
 use super::Core;
-use crate::jobs::{Job, OpenJob, Placed, TaskId};
+use crate::jobs::{OpenJob, Placed, TaskId};
 use crate::ranges::Ranges;
-use crate::records::{self, ChunkRecord, JobStage};
+use crate::records::{self, JobStage, LoadRecord, Span};
 use dapplecroft_state::Unit;
 use dapplecroft_wire::state::{Change, Condition};
 use serde::Serialize;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -16,13 +17,24 @@
 const LAZY: Duration = Duration::from_secs(2);
 /// They wait longer for admissions and placements, but not for ever: a worker
 /// lists its tasks until their ends are committed.
-const LAZIEST: Duration = Duration::from_secs(8);
+const LAZIEST: Duration = Duration::from_secs(6);
+/// Room that is kept in a block's record for the ends of what is placed.
+const SPARE: f64 = 0.75;
 
-/// A unit of a job's changes.
+/// Whose records a unit changes.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Subject {
+    /// A job's.
+    Job(Arc<str>),
+    /// A block's.
+    Block(u32),
+}
+
+/// A unit of changes.
 #[derive(Debug, Clone)]
-pub struct JobUnit {
-    /// The job.
-    pub job: Arc<str>,
+pub struct WorkUnit {
+    /// What it is about.
+    pub subject: Subject,
     /// The unit.
     pub unit: Unit,
     number: u64,
@@ -42,43 +54,42 @@
     serde_json::to_value(record).unwrap_or_default()
 }
 
-/// A chunk's record after a unit, and what is proposed with it.
-struct NewChunk {
-    record: ChunkRecord,
-    proposals: Vec<(u32, Placed)>,
-}
-
 impl Core {
-    /// The next unit to commit, of any job that has none on its way. What ends
+    /// The next unit to commit, of anything that has none on its way. What ends
     /// jobs goes first, then admissions and placements. Ends of other tasks
     /// wait for company, unless changes are plenty (`relaxed`).
-    pub fn next_unit(&mut self, relaxed: bool, now: Instant) -> Option<JobUnit> {
+    pub fn next_unit(&mut self, relaxed: bool, now: Instant) -> Option<WorkUnit> {
         if !self.has_role() {
             return None;
         }
         loop {
             let age = self.lazy.front().map(|(since, _)| now.saturating_duration_since(*since));
             let due = |least: Duration| age.is_some_and(|a| a >= least);
-            let id = if let Some(id) = self.first.pop() {
-                id
+            let subject = if let Some(subject) = self.first.pop() {
+                subject
             } else if due(LAZIEST) {
-                self.lazy.pop_front()?.1
-            } else if let Some(id) = self.dirty.pop() {
-                id
+                Subject::Block(self.lazy.pop_front()?.1)
+            } else if let Some(subject) = self.dirty.pop() {
+                subject
             } else if due(if relaxed { Duration::ZERO } else { LAZY }) {
-                self.lazy.pop_front()?.1
+                Subject::Block(self.lazy.pop_front()?.1)
             } else {
                 return None;
             };
             // One that is on its way is looked at again when it has ended.
-            if self.open_job(&id).is_none_or(|j| j.committing.is_some()) {
+            if self.on_way.contains_key(&subject) {
+                self.again.insert(subject);
                 continue;
             }
-            if let Some(unit) = self.build_unit(&id) {
-                if let Some(job) = self.open_job_mut(&id) {
-                    job.committing = Some(unit.number);
-                }
-                return Some(unit);
+            let unit = match &subject {
+                Subject::Job(id) => self.job_unit(id),
+                Subject::Block(block) => self.block_unit(*block),
+            };
+            if let Some((unit, proposals)) = unit {
+                self.units += 1;
+                let number = self.units;
+                self.on_way.insert(subject.clone(), number);
+                return Some(WorkUnit { subject, unit, number, proposals });
             }
         }
     }
@@ -88,295 +99,306 @@
         !self.lazy.is_empty()
     }
 
-    /// Whether a job's ends, once committed, would end the job.
-    pub(super) fn ends_job(&self, job: &OpenJob) -> bool {
-        let more = job.exits.values().filter(|e| e.done).count() as u32;
-        job.done.len() + more >= job.record.tasks
-    }
-
-    /// Notes that ends of a job's tasks have to be committed.
-    pub(super) fn note_ends(&mut self, id: &Arc<str>, now: Instant) {
+    /// Asks for a commit of what a job has to commit.
+    pub(super) fn mark_job(&mut self, id: &Arc<str>) {
         let Some(job) = self.open_job(id) else { return };
-        if !job.is_open() || self.ends_job(job) {
-            self.mark_dirty(id);
+        let over = !job.is_open() || job.done.len() == job.record.tasks;
+        let subject = Subject::Job(id.clone());
+        if over {
+            self.first.push(subject);
         } else {
-            self.lazy.push_back((now, id.clone()));
-            self.wakes.flush = true;
+            self.dirty.push(subject);
         }
+        self.wakes.flush = true;
     }
 
-    /// A chunk's record with the ends and proposals of this holder.
-    fn new_chunk(&self, job: &OpenJob, chunk: u32, block: u32) -> NewChunk {
-        let mut record = job.chunks.get(&(chunk, block)).map(|(c, _)| c.clone()).unwrap_or_default();
-        let range = job.indices(chunk);
-        for (index, exit) in job.exits.range(range.clone()) {
-            if record.at.get(index).is_none_or(|(attempt, _, _)| *attempt != exit.attempt) {
-                continue;
-            }
-            record.at.remove(index);
-            if exit.done {
-                record.done.insert(*index);
-                record.tries.remove(index);
-            } else {
-                record.tries.insert(*index, exit.attempt);
-            }
-        }
-        let mut proposals = Vec::new();
-        if job.is_open() {
-            let most = self.settings.params.state.value_kb * 1024.0 - 256.0;
-            let mut size: usize = record.at.values().map(|(_, m, _)| m.len() + 34).sum();
-            for (index, placed) in job.placed.range(range) {
-                if placed.committed || placed.block != block || job.exits.contains_key(index) {
-                    continue;
-                }
-                // The leader may have taken it back since it was proposed.
-                if !job.admits(block, *index) {
-                    continue;
-                }
-                // A value has a limit: what does not fit waits for its turn.
-                size += placed.machine.len() + 34;
-                if size as f64 > most {
-                    break;
-                }
-                record.tries.remove(index);
-                record.at.insert(*index, (placed.attempt, placed.machine.to_string(), placed.session));
-                proposals.push((*index, placed.clone()));
-            }
+    /// Asks for a commit of what is proposed in a block.
+    pub(super) fn mark_block(&mut self, block: u32) {
+        self.dirty.push(Subject::Block(block));
+        self.wakes.flush = true;
+    }
+
+    /// Notes that an end of one of a job's tasks has to be committed in a block.
+    pub(super) fn note_end(&mut self, id: &Arc<str>, block: u32, now: Instant) {
+        let Some(job) = self.open_job(id) else { return };
+        let more = job.exits.values().filter(|e| e.done).count() as u32;
+        if !job.is_open() || job.done.len() + more >= job.record.tasks {
+            self.first.push(Subject::Block(block));
+        } else if !self.lazy.iter().any(|(_, b)| *b == block) {
+            self.lazy.push_back((now, block));
         }
-        NewChunk { record, proposals }
+        self.wakes.flush = true;
     }
 
-    fn build_unit(&mut self, id: &Arc<str>) -> Option<JobUnit> {
-        let leadership = self.role.leadership.filter(|_| self.fleet.ready());
-        let most = self.settings.params.state.txn_ops;
-        let job = self.open_job(id)?;
-        let open = job.is_open();
-        let mut record = job.record.clone();
-        let mut conditions: Vec<Condition> = Vec::new();
-        let mut blocks: BTreeSet<u32> = BTreeSet::new();
-        let mut writes: BTreeMap<(u32, u32), Option<ChunkRecord>> = BTreeMap::new();
-        let mut proposals: Vec<(TaskId, Placed)> = Vec::new();
-        let mut left_over = false;
-        if open && leadership.is_some() {
-            for (block, ranges) in &job.admitting {
-                let admitted = record.admitted.entry(*block).or_default();
-                *admitted = admitted.union(ranges);
-            }
-            for (block, ranges) in &job.revoking {
-                if let Some(admitted) = record.admitted.get_mut(block) {
-                    *admitted = admitted.without(ranges);
+    /// The record of what runs in a block, with the ends and proposals of its
+    /// holder; and the proposals in it.
+    fn new_load(&self, block: u32) -> (LoadRecord, Vec<(TaskId, Placed)>) {
+        let params = &self.settings.params.state;
+        let most = (params.value_kb * 1024.0 * SPARE) as usize;
+        let most_jobs = params.txn_ops * 3;
+        let mut record = LoadRecord::default();
+        let mut proposals = Vec::new();
+        let mut jobs: HashMap<Arc<str>, u32> = HashMap::new();
+        let mut asked: BTreeSet<Arc<str>> = BTreeSet::new();
+        let mut size = 64;
+        if let Some(old) = self.loads.get(&block) {
+            for (id, done) in &old.record.done {
+                let Some(job) = self.open_job(id).filter(|j| j.is_open()) else { continue };
+                let left = done.without(&job.record.folded);
+                if !left.is_empty() {
+                    size += id.len() + 6 + left.pieces().len() * 12;
+                    record.done.insert(id.clone(), left);
                 }
-                // The block's holder may be placing them right now.
-                for chunk in ranges.iter().map(|i| job.chunk_of(i)).collect::<BTreeSet<u32>>() {
-                    let version = job.chunks.get(&(chunk, *block)).map_or(0, |(_, v)| *v);
-                    conditions.push(Condition { key: records::chunk_key(*block, id, chunk), version });
+            }
+            for (id, tries) in &old.record.tries {
+                let Some(job) = self.open_job(id).filter(|j| j.is_open()) else { continue };
+                let left: BTreeMap<u32, u64> =
+                    tries.iter().filter(|(i, _)| !job.done.contains(**i)).map(|(i, n)| (*i, *n)).collect();
+                if !left.is_empty() {
+                    size += id.len() + 6 + left.len() * 10;
+                    record.tries.insert(id.clone(), left);
                 }
             }
-            record.admitted.retain(|_, r| !r.is_empty());
         }
-        let held = |index: &u32| {
-            let placed = job.placed.get(index)?;
-            let own = self.role.holdings.contains_key(&placed.block);
-            own.then_some((job.chunk_of(*index), placed.block))
-        };
-        let proposed = job.placed.iter().filter(|(_, p)| !p.committed && open).map(|(i, _)| i);
-        let touched: BTreeSet<(u32, u32)> = job.exits.keys().chain(proposed).filter_map(held).collect();
-        let many = job.chunks.len() + touched.len() + 1 > most;
-        for (chunk, block) in touched {
-            // One change is kept for the job itself.
-            if writes.len() + 1 >= most {
-                left_over = true;
-                break;
-            }
-            let new = self.new_chunk(job, chunk, block);
-            if job.chunks.get(&(chunk, block)).is_some_and(|(c, _)| *c == new.record) {
-                continue;
-            }
-            let idle = new.record.at.is_empty() && new.record.tries.is_empty();
-            let dropped = if open { many && idle } else { new.record.at.is_empty() };
-            if dropped {
-                record.folded = record.folded.union(&new.record.done);
+        let mut waiting: Vec<(TaskId, Placed)> = Vec::new();
+        let mut add = |record: &mut LoadRecord, task: &TaskId, p: &Placed, size: &mut usize| {
+            let names = &mut record.jobs;
+            let job = *jobs.entry(task.job.clone()).or_insert_with(|| {
+                *size += task.job.len() + 3;
+                names.push(task.job.to_string());
+                names.len() as u32 - 1
+            });
+            if !record.machines.contains_key(&*p.machine) {
+                *size += p.machine.len() + 6;
             }
-            proposals
-                .extend(new.proposals.into_iter().map(|(index, p)| (TaskId { job: id.clone(), index }, p)));
-            writes.insert((chunk, block), (!dropped).then_some(new.record));
-        }
-        let mut done = record.folded.clone();
-        for (key, (chunk, _)) in &job.chunks {
-            if !writes.contains_key(key) {
-                done = done.union(&chunk.done);
+            let spans = record.machines.entry(p.machine.to_string()).or_default();
+            let joins =
+                |s: &&mut Span| s.0 == job && s.2 + 1 == task.index && s.3 == p.attempt && s.4 == p.session;
+            match spans.last_mut().filter(joins) {
+                Some(span) => span.2 = task.index,
+                None => {
+                    *size += 18;
+                    spans.push((job, task.index, task.index, p.attempt, p.session));
+                }
             }
-        }
-        for chunk in writes.values().flatten() {
-            done = done.union(&chunk.done);
-        }
-        let rest = |writes: &BTreeMap<(u32, u32), Option<ChunkRecord>>| -> Vec<(u32, u32)> {
-            job.chunks.keys().filter(|k| !writes.contains_key(*k)).copied().collect()
         };
-        if open && done.len() == record.tasks {
-            // The job's end and the end of its placements are one transaction,
-            // if they fit; else its chunks are folded into its record first.
-            let others = rest(&writes);
-            if writes.len() + others.len() < most {
-                writes.values_mut().for_each(|w| *w = None);
-                writes.extend(others.into_iter().map(|key| (key, None)));
-                record = record.compact(JobStage::Done, done.len());
-            } else {
-                for (key, write) in &mut writes {
-                    let chunk = write.take().or_else(|| job.chunks.get(key).map(|(c, _)| c.clone()));
-                    record.folded = record.folded.union(&chunk.unwrap_or_default().done);
+        for machine in self.machines.values().filter(|m| m.block == block && !m.tasks.is_empty()) {
+            for task in &machine.tasks {
+                let Some(job) = self.open_job(&task.job) else { continue };
+                let Some(p) = job.placed.get(&task.index).filter(|p| p.block == block) else { continue };
+                if !p.committed {
+                    waiting.push((task.clone(), p.clone()));
+                    continue;
                 }
-                for key in others {
-                    if writes.len() + 1 >= most {
-                        break;
+                match job.exits.get(&task.index).filter(|e| e.attempt == p.attempt) {
+                    None => add(&mut record, task, p, &mut size),
+                    Some(_) if !job.is_open() => {}
+                    Some(exit) if exit.done => {
+                        record.done.entry(task.job.to_string()).or_default().insert(task.index);
+                        size += 8;
                     }
-                    if let Some((chunk, _)) = job.chunks.get(&key) {
-                        record.folded = record.folded.union(&chunk.done);
-                        writes.insert(key, None);
+                    Some(exit) => {
+                        let tries = record.tries.entry(task.job.to_string()).or_default();
+                        tries.insert(task.index, exit.attempt);
+                        size += 10;
                     }
                 }
-                left_over = true;
             }
-        } else if !open && !left_over {
-            // Nothing of a withdrawn job is kept once nothing of it is left on
-            // machines, and then its record takes its final, compact form.
-            for key in rest(&writes) {
-                if job.chunks.get(&key).is_none_or(|(c, _)| !c.at.is_empty()) {
-                    continue;
-                }
-                if writes.len() + 1 >= most {
-                    left_over = true;
-                    break;
-                }
-                writes.insert(key, None);
+        }
+        for (task, p) in waiting {
+            // A task is placed only while its job is open and the record of the
+            // job, to whose version the unit is bound, admits it to the block.
+            let Some(job) = self.open_job(&task.job) else { continue };
+            let admitted = job.record.admitted.get(&block).is_some_and(|r| r.contains(task.index));
+            if !job.is_open() || !admitted {
+                continue;
             }
-            // A placement made before the withdrawal may not be known yet.
-            let unsettled = job.version > self.followed;
-            let remains =
-                left_over || unsettled || writes.values().any(Option::is_some) || !rest(&writes).is_empty();
-            record.folded = Ranges::default();
-            if !remains {
-                record = record.compact(record.stage, record.done.unwrap_or(0).max(done.len()));
-            } else {
-                record = job.record.clone();
+            // A value and a transaction have limits: the rest waits.
+            if size > most || (!asked.contains(&task.job) && asked.len() >= most_jobs) {
+                continue;
             }
-        }
-        let mut changes = Vec::new();
-        for ((chunk, block), write) in writes {
-            let key = records::chunk_key(block, id, chunk);
-            let version = job.chunks.get(&(chunk, block)).map_or(0, |(_, v)| *v);
-            conditions.push(Condition { key: key.clone(), version });
-            blocks.insert(block);
-            match write {
-                Some(chunk) => changes.push(Change::Set { key, value: to_value(&chunk), lease: None }),
-                None if version > 0 => changes.push(Change::Drop { key }),
-                None => {}
+            asked.insert(task.job.clone());
+            if let Some(tries) = record.tries.get_mut(&*task.job) {
+                tries.remove(&task.index);
             }
+            add(&mut record, &task, &p, &mut size);
+            proposals.push((task, p));
         }
-        let job_changes = record != job.record;
-        if job_changes || !proposals.is_empty() {
-            // A task is placed only while its job is open and the task admitted
-            // to the block: both are in the job's record.
-            conditions.push(Condition { key: records::job_key(id), version: job.version });
+        record.tries.retain(|_, t| !t.is_empty());
+        (record, proposals)
+    }
+
+    /// What is to be committed of a block, with what is proposed in it.
+    fn block_unit(&self, block: u32) -> Option<(Unit, Vec<(TaskId, Placed)>)> {
+        // A stale holder can commit nothing, hence start nothing.
+        let holding = self.role.holdings.get(&block)?;
+        let (record, proposals) = self.new_load(block);
+        let old = self.loads.get(&block);
+        if old.is_some_and(|o| o.record == record) || (old.is_none() && record == LoadRecord::default()) {
+            return None;
         }
-        if job_changes {
-            changes.push(Change::Set { key: records::job_key(id), value: to_value(&record), lease: None });
+        let key = records::load_key(block);
+        let mut conditions = vec![
+            Condition { key: records::block_key(block), version: holding.version },
+            Condition { key: key.clone(), version: old.map_or(0, |o| o.version) },
+        ];
+        let jobs: BTreeSet<&Arc<str>> = proposals.iter().map(|(t, _)| &t.job).collect();
+        for id in jobs {
+            conditions.push(Condition { key: records::job_key(id), version: self.open_job(id)?.version });
         }
-        if let Some(version) = leadership.filter(|_| !(job.admitting.is_empty() && job.revoking.is_empty())) {
-            conditions.push(Condition { key: records::LEADER.into(), version });
+        let changes = vec![Change::Set { key, value: to_value(&record), lease: None }];
+        Some((Unit { conditions, changes }, proposals))
+    }
+
+    /// What is to be committed of a job: admissions, what is taken back, its end.
+    fn job_unit(&self, id: &Arc<str>) -> Option<(Unit, Vec<(TaskId, Placed)>)> {
+        let leadership = self.role.leadership.filter(|_| self.fleet.ready());
+        let job = self.open_job(id)?;
+        let mut conditions = vec![Condition { key: records::job_key(id), version: job.version }];
+        let record = if job.is_open() && job.done.len() == job.record.tasks {
+            // All that it rests on is committed, so anyone may end it.
+            job.record.compact(JobStage::Done, job.done.len())
+        } else if !job.is_open() {
+            // A placement made before the withdrawal may not be known yet; once
+            // it would be, and none is, there will never be one.
+            let left = job.placed.values().any(|p| p.committed);
+            if left || job.version > self.followed {
+                return None;
+            }
+            let done = job.record.done.unwrap_or(0).max(job.done.len());
+            job.record.compact(job.record.stage, done)
+        } else {
+            self.admissions(job)
+        };
+        if record.spec.is_some() {
+            conditions.push(Condition { key: records::LEADER.into(), version: leadership? });
         }
-        // A stale holder can commit nothing, hence start nothing; and what
-        // concerns the records of several holders is bound to all their leases.
-        for block in blocks {
-            let version = match self.role.holdings.get(&block) {
-                Some(holding) => holding.version,
-                None => self.blocks.get(&block).map_or(0, |(_, v)| *v),
-            };
-            conditions.push(Condition { key: records::block_key(block), version });
+        if record == job.record {
+            return None;
         }
-        if left_over {
-            self.mark_dirty(id);
+        let change = Change::Set { key: records::job_key(id), value: to_value(&record), lease: None };
+        Some((Unit { conditions, changes: vec![change] }, Vec::new()))
+    }
+
+    /// A job's record with this leader's decisions. What is done is noted in it
+    /// as well, so that it stays short.
+    fn admissions(&self, job: &OpenJob) -> records::JobRecord {
+        let mut record = job.record.clone();
+        if job.admitting.is_empty() && job.revoking.is_empty() {
+            return record;
         }
-        if changes.is_empty() {
-            return None;
+        for (block, ranges) in &job.admitting {
+            let admitted = record.admitted.entry(*block).or_default();
+            *admitted = admitted.union(ranges);
         }
-        self.units += 1;
-        let number = self.units;
-        Some(JobUnit { job: id.clone(), unit: Unit { conditions, changes }, number, proposals })
+        for (block, ranges) in &job.revoking {
+            if let Some(admitted) = record.admitted.get_mut(block) {
+                *admitted = admitted.without(ranges);
+            }
+        }
+        record.folded = record.folded.union(&job.done);
+        for admitted in record.admitted.values_mut() {
+            *admitted = admitted.without(&record.folded);
+        }
+        record.admitted.retain(|_, r| !r.is_empty());
+        record
     }
 
     /// Takes over the end of a unit.
-    pub fn unit_ended(&mut self, unit: &JobUnit, end: UnitEnd, now: Instant) {
-        if let Some(job) = self.open_job_mut(&unit.job)
-            && job.committing == Some(unit.number)
-        {
-            job.committing = None;
+    pub fn unit_ended(&mut self, unit: &WorkUnit, end: UnitEnd, now: Instant) {
+        if self.on_way.get(&unit.subject) == Some(&unit.number) {
+            self.on_way.remove(&unit.subject);
         }
         match end {
             UnitEnd::Committed(revision) => {
                 self.apply_changes(&unit.unit.changes, revision, now);
                 // A machine can go while a placement on it is on its way.
-                let mut lost: Vec<Arc<str>> = unit
+                let lost: BTreeSet<Arc<str>> = unit
                     .proposals
                     .iter()
                     .map(|(_, p)| p.machine.clone())
                     .filter(|m| self.gone.contains_key(m))
                     .collect();
-                lost.dedup();
                 for id in lost {
                     self.machine_gone(&id, now);
                 }
             }
             UnitEnd::NotMade => {
-                // What was admitted with it may not be, so all that rests on it
-                // is decided again.
-                if let Some(job) = self.open_job_mut(&unit.job) {
+                let mut jobs: BTreeSet<Arc<str>> = BTreeSet::new();
+                for (task, placed) in &unit.proposals {
+                    self.withdraw_proposal(task, placed);
+                    jobs.insert(task.job.clone());
+                }
+                if let Subject::Job(id) = &unit.subject {
+                    if let Some(job) = self.open_job_mut(id) {
+                        job.admitting.clear();
+                        job.revoking.clear();
+                    }
+                    jobs.insert(id.clone());
+                }
+                for id in jobs {
+                    self.rederive(&id);
+                    self.drop_unadmitted(&id);
+                }
+            }
+        }
+        match &unit.subject {
+            Subject::Job(id) => {
+                if self.role.leadership.is_none()
+                    && let Some(job) = self.open_job_mut(id)
+                    && !(job.admitting.is_empty() && job.revoking.is_empty())
+                {
+                    // Decided while this unit was on its way, and gone with the
+                    // leadership.
                     job.admitting.clear();
                     job.revoking.clear();
+                    self.rederive(id);
+                }
+                self.drop_unadmitted(id);
+                let more = self.open_job(id).is_some_and(|j| {
+                    !(j.admitting.is_empty() && j.revoking.is_empty()) || j.done.len() == j.record.tasks
+                });
+                if more {
+                    self.mark_job(id);
                 }
-                self.drop_proposals(&unit.job, None);
             }
-        }
-        if self.role.leadership.is_none() {
-            // Admissions decided while this unit was on its way went with the
-            // leadership, and what was proposed on them too.
-            if let Some(job) = self.open_job_mut(&unit.job)
-                && !(job.admitting.is_empty() && job.revoking.is_empty())
-            {
-                job.admitting.clear();
-                job.revoking.clear();
-                self.drop_proposals(&unit.job, None);
+            Subject::Block(block) => {
+                if !self.role.holdings.contains_key(block) {
+                    self.drop_proposals_in(*block);
+                } else if end == UnitEnd::NotMade {
+                    self.mark_block(*block);
+                }
             }
         }
-        self.drop_unadmitted(&unit.job);
-        let holdings = &self.role.holdings;
-        let Some(Job::Open(job)) = self.jobs.get(&unit.job) else { return };
-        let blocks: BTreeSet<u32> = job.placed.values().filter(|p| !p.committed).map(|p| p.block).collect();
-        let lost: Vec<u32> = blocks.into_iter().filter(|b| !holdings.contains_key(b)).collect();
-        for block in lost {
-            self.drop_proposals(&unit.job, Some(block));
-        }
-        let Some(job) = self.open_job(&unit.job) else { return };
-        if !job.is_open() {
-            self.drop_proposals(&unit.job, None);
-            self.mark_dirty(&unit.job);
-        } else if job.placed.values().any(|p| !p.committed)
-            || !(job.admitting.is_empty() && job.revoking.is_empty())
-            || job.done.len() == job.record.tasks
-        {
-            self.mark_dirty(&unit.job);
-        } else if !job.exits.is_empty() {
-            self.note_ends(&unit.job.clone(), now);
+        if self.again.remove(&unit.subject) {
+            self.dirty.push(unit.subject.clone());
+            self.wakes.flush = true;
         }
         self.wakes.place = true;
     }
 
+    /// Takes back all that is proposed in a block and not on its way.
+    pub(super) fn drop_proposals_in(&mut self, block: u32) {
+        let proposed: Vec<(TaskId, Placed)> = self
+            .machines
+            .values()
+            .filter(|m| m.block == block)
+            .flat_map(|m| &m.tasks)
+            .filter_map(|t| Some((t.clone(), self.open_job(&t.job)?.placed.get(&t.index)?.clone())))
+            .filter(|(_, p)| !p.committed && p.block == block)
+            .collect();
+        let jobs: BTreeSet<Arc<str>> = proposed.iter().map(|(t, _)| t.job.clone()).collect();
+        for (task, placed) in proposed {
+            self.withdraw_proposal(&task, &placed);
+        }
+        for id in jobs {
+            self.rederive(&id);
+        }
+    }
+
     /// Takes over changes that this process has committed.
     pub fn apply_changes(&mut self, changes: &[Change], revision: u64, now: Instant) {
-        // A job's record first: it says what the end of a chunk means.
-        let (jobs, others): (Vec<_>, Vec<_>) =
-            changes.iter().partition(|c| matches!(records::Key::parse(c.key()), Some(records::Key::Job(_))));
-        for change in jobs.into_iter().chain(others) {
+        for change in changes {
             match change {
                 Change::Set { key, value, .. } => self.apply(key, Some(value.clone()), revision, now),
                 Change::Drop { key } => self.apply(key, None, revision, now),
@@ -384,3 +406,21 @@
         }
     }
 }
+
+/// All tasks of a record's spans.
+pub(super) fn tasks_of(record: &LoadRecord) -> BTreeMap<&str, Vec<(&str, Span)>> {
+    record
+        .machines
+        .iter()
+        .map(|(machine, spans)| {
+            let named =
+                spans.iter().filter_map(|s| Some((record.jobs.get(s.0 as usize)?.as_str(), *s))).collect();
+            (machine.as_str(), named)
+        })
+        .collect()
+}
+
+/// Ranges of a record, or none.
+pub(super) fn ranges_of(map: &BTreeMap<String, Ranges>, id: &str) -> Ranges {
+    map.get(id).cloned().unwrap_or_default()
+}
--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -1,14 +1,15 @@
 //! The copy of the records, and what follows from each change of it.
 
-use super::{Core, Group, reindex};
+use super::commit::{ranges_of, tasks_of};
+use super::{Core, Group, Load, reindex};
 use crate::jobs::{Job, OpenJob, Placed, Stop, TaskId};
 use crate::machines::Machine;
-use crate::records::{ChunkRecord, GroupRecord, JobRecord, Key};
+use crate::records::{GroupRecord, JobRecord, Key, LoadRecord, Span};
 use dapplecroft_wire::cloud::Catalog;
 use dapplecroft_wire::state::{Followed, Item};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -54,9 +55,7 @@
         for id in settled {
             self.unsettled.remove(&id);
             self.rederive(&id);
-            if self.has_role() && self.open_job(&id).is_some() {
-                self.mark_dirty(&id);
-            }
+            self.finish_if_over(&id);
         }
         // What was leased to this process may be known well enough by now.
         let waits = |version: u64| version <= followed;
@@ -75,11 +74,7 @@
 
     /// Takes over what a watch brought, up to a revision.
     pub fn follow(&mut self, followed: Followed, now: Instant) {
-        let mut log = followed.log;
-        // Within a transaction a job's record comes first: it says what the end
-        // of its chunks means.
-        log.sort_by_key(|l| (l.version, !l.set.as_deref().is_some_and(|k| k.starts_with("dc/j/"))));
-        for change in log {
+        for change in followed.log {
             match (change.set, change.drop) {
                 (Some(key), _) => self.apply(&key, change.data, change.version, now),
                 (None, Some(key)) => self.apply(&key, None, change.version, now),
@@ -114,9 +109,10 @@
                     self.apply_job(id, record, version, now);
                 }
             }
-            Some(Key::Chunk(block, id, chunk)) => {
-                let record = value.and_then(|v| read::<ChunkRecord>(key, Some(v)));
-                self.apply_chunk(block, id, chunk, record, version, now);
+            Some(Key::Load(block)) => {
+                if let Some(record) = read::<LoadRecord>(key, value) {
+                    self.apply_load(block, record, version, now);
+                }
             }
             Some(Key::Group(name)) => match value {
                 Some(v) => {
@@ -187,6 +183,9 @@
                         *own = own.without(admitted);
                     }
                 }
+                if !job.revoking.is_empty() {
+                    job.revoked = version;
+                }
                 for (block, revoked) in &mut job.revoking {
                     let still = record.admitted.get(block).cloned().unwrap_or_default();
                     *revoked = revoked.without(&revoked.without(&still));
@@ -205,9 +204,16 @@
         self.wakes.place = true;
         self.stop_withdrawn(&id);
         self.rederive(&id);
-        if self.open_job(&id).is_some_and(|j| j.committing.is_none()) {
-            self.drop_unadmitted(&id);
-        }
+        self.drop_unadmitted(&id);
+        let own: Vec<u32> = self
+            .open_job(&id)
+            .into_iter()
+            .flat_map(|j| j.placed.values())
+            .filter(|p| !p.committed)
+            .map(|p| p.block)
+            .collect();
+        // What was proposed on this admission can be committed now.
+        own.into_iter().for_each(|block| self.mark_block(block));
         self.finish_if_over(&id);
     }
 
@@ -226,25 +232,22 @@
         if job.version > self.followed {
             self.unsettled.insert(id.clone());
         }
-        if self.open_job(id).is_some_and(|j| j.committing.is_none()) {
-            self.drop_proposals(id, None);
-        }
+        self.drop_proposals(id);
     }
 
-    /// Whoever ends the last task of a job ends the job. If two holders do so at
-    /// the same time, neither has seen the other's end: then the leader does it.
+    /// The leader ends jobs; while there is none, whoever acts at all does.
     pub(super) fn finish_if_over(&mut self, id: &Arc<str>) {
-        if self.role.leadership.is_none() {
+        if self.role.leadership.is_none() && (self.leader.is_some() || !self.has_role()) {
             return;
         }
         let Some(job) = self.open_job(id) else { return };
         let over = if job.is_open() {
             job.done.len() == job.record.tasks
         } else {
-            job.chunks.values().all(|(c, _)| c.at.is_empty())
+            !job.placed.values().any(|p| p.committed)
         };
         if over {
-            self.mark_dirty(id);
+            self.mark_job(id);
         }
     }
 
@@ -261,94 +264,138 @@
         }
         self.open.remove(id);
         self.waiting.remove(id);
-        self.first.remove(id);
-        self.dirty.remove(id);
     }
 
-    /// Brings a chunk's placements in a block up to its record.
-    fn apply_chunk(
-        &mut self,
-        block: u32,
-        id: &str,
-        chunk: u32,
-        record: Option<ChunkRecord>,
-        version: u64,
-        now: Instant,
-    ) {
-        let Some((id, _)) = self.jobs.get_key_value(id) else { return };
-        let id = id.clone();
-        let Some(Job::Open(job)) = self.jobs.get_mut(&id) else { return };
-        // Dropped when folded into the job's record, which was applied before.
-        let record = record.unwrap_or_default();
-        let amounts = job.need.amounts;
-        let range = job.indices(chunk);
-        let mut unbooked = Vec::new();
-        let stale: Vec<u32> = job
-            .placed
-            .range(range.clone())
-            .filter(|(index, p)| {
-                p.block == block
-                    && match record.at.get(index) {
-                        Some((attempt, machine, _)) => *attempt != p.attempt || **machine != *p.machine,
-                        None => p.committed,
-                    }
+    /// Brings what runs in a block up to its record. Only machines whose spans
+    /// changed are looked at.
+    fn apply_load(&mut self, block: u32, record: LoadRecord, version: u64, now: Instant) {
+        let old = self.loads.remove(&block).unwrap_or_default();
+        let (before, after) = (tasks_of(&old.record), tasks_of(&record));
+        let same = |a: &[(&str, Span)], b: &[(&str, Span)]| {
+            a.len() == b.len()
+                && a.iter()
+                    .zip(b)
+                    .all(|((j, s), (k, t))| j == k && (s.1, s.2, s.3, s.4) == (t.1, t.2, t.3, t.4))
+        };
+        let mut jobs: BTreeSet<Arc<str>> = BTreeSet::new();
+        let names: BTreeSet<&str> = before.keys().chain(after.keys()).copied().collect();
+        let changed: Vec<&str> = names
+            .into_iter()
+            .filter(|m| match (before.get(m), after.get(m)) {
+                (Some(a), Some(b)) => !same(a, b),
+                _ => true,
             })
-            .map(|(index, _)| *index)
             .collect();
-        for index in stale {
-            if let Some(placed) = job.placed.remove(&index) {
-                unbooked.push((index, placed));
+        // First what has left, then what has come: a task may have moved.
+        let mut come: Vec<(TaskId, Arc<str>, u64, u64)> = Vec::new();
+        let mut left: Vec<(TaskId, Placed)> = Vec::new();
+        for name in &changed {
+            let machine: Arc<str> = (*name).into();
+            let mut there: BTreeMap<TaskId, (u64, u64)> = BTreeMap::new();
+            for (id, (_, first, last, attempt, session)) in after.get(name).into_iter().flatten() {
+                let Some((id, job)) = self.jobs.get_key_value(*id) else { continue };
+                let Job::Open(job) = job else { continue };
+                for index in *first..=(*last).min(job.record.tasks.saturating_sub(1)) {
+                    there.insert(TaskId { job: id.clone(), index }, (*attempt, *session));
+                }
             }
-            job.exits.remove(&index);
-        }
-        let mut booked = Vec::new();
-        let withdrawn = !job.is_open();
-        for (&index, (attempt, machine, session)) in &record.at {
-            if index >= job.record.tasks {
-                continue;
+            if let Some(known) = self.machines.get(&machine) {
+                for task in &known.tasks {
+                    let Some(p) = self.open_job(&task.job).and_then(|j| j.placed.get(&task.index)) else {
+                        continue;
+                    };
+                    let stays = there.get(task).is_some_and(|(attempt, _)| *attempt == p.attempt);
+                    if p.committed && p.block == block && !stays {
+                        left.push((task.clone(), p.clone()));
+                    }
+                }
             }
-            let placed = job.placed.entry(index).or_insert_with(|| {
-                let machine: Arc<str> = machine.as_str().into();
-                booked.push((index, machine.clone()));
-                Placed {
-                    attempt: *attempt,
-                    machine,
-                    block,
-                    session: *session,
-                    committed: true,
-                    since: now,
-                    running: None,
-                    sent: 0,
-                    stop: None,
+            come.extend(
+                there.into_iter().map(|(t, (attempt, session))| (t, machine.clone(), attempt, session)),
+            );
+        }
+        for (task, placed) in left {
+            let Some(job) = self.open_job_mut(&task.job) else { continue };
+            job.placed.remove(&task.index);
+            job.exits.remove(&task.index);
+            let amounts = job.need.amounts;
+            self.unbook(&task, &placed, amounts);
+            jobs.insert(task.job);
+        }
+        let held = self.role.holdings.contains_key(&block);
+        for (task, machine, attempt, session) in come {
+            jobs.insert(task.job.clone());
+            let Some(job) = self.open_job_mut(&task.job) else { continue };
+            let stop = (!job.is_open()).then_some(Stop::Withdrawn);
+            match job.placed.get_mut(&task.index) {
+                Some(p) if p.attempt == attempt && p.machine == machine => {
+                    if !p.committed {
+                        p.committed = true;
+                        p.since = now;
+                    }
+                    p.stop = stop.or(p.stop);
+                }
+                other => {
+                    // A proposal of this process that lost against the record.
+                    let lost = other.map(|p| p.clone());
+                    let placed = Placed {
+                        attempt,
+                        machine: machine.clone(),
+                        block,
+                        session,
+                        committed: true,
+                        since: now,
+                        running: None,
+                        sent: 0,
+                        stop,
+                    };
+                    let amounts = job.need.amounts;
+                    job.placed.insert(task.index, placed);
+                    if let Some(lost) = lost {
+                        self.unbook(&task, &lost, amounts);
+                    }
+                    self.book(&task, &machine, block, now);
                 }
-            });
-            if !placed.committed && placed.block == block {
-                placed.committed = true;
-                placed.since = now;
             }
-            if withdrawn {
-                placed.stop = Some(Stop::Withdrawn);
+            if held {
+                self.wakes.command.insert(machine);
             }
-            if self.role.holdings.contains_key(&block) {
-                self.wakes.command.insert(placed.machine.clone());
+        }
+        for id in old.record.done.keys().chain(record.done.keys()) {
+            let new = ranges_of(&record.done, id);
+            if new == ranges_of(&old.record.done, id) {
+                continue;
+            }
+            if let Some((id, Job::Open(_))) = self.jobs.get_key_value(id.as_str()) {
+                jobs.insert(id.clone());
             }
         }
-        if record == ChunkRecord::default() {
-            job.chunks.remove(&(chunk, block));
-        } else {
-            job.chunks.insert((chunk, block), (record, version));
+        for id in old.record.tries.keys().chain(record.tries.keys()) {
+            if let Some((id, Job::Open(_))) = self.jobs.get_key_value(id.as_str()) {
+                jobs.insert(id.clone());
+            }
         }
-        let placed = &job.placed;
-        job.exits.retain(|i, e| !range.contains(i) || placed.get(i).is_some_and(|p| p.attempt == e.attempt));
-        for (index, placed) in unbooked {
-            self.unbook(&TaskId { job: id.clone(), index }, &placed, amounts);
+        for id in &jobs {
+            let Some(job) = self.open_job_mut(id) else { continue };
+            let done = ranges_of(&record.done, id);
+            if done.is_empty() {
+                job.done_in.remove(&block);
+            } else {
+                job.done_in.insert(block, done);
+            }
+            match record.tries.get(&**id) {
+                Some(tries) => job.tries.insert(block, tries.clone()),
+                None => job.tries.remove(&block),
+            };
+            let placed = &job.placed;
+            job.exits.retain(|i, e| placed.get(i).is_some_and(|p| p.attempt == e.attempt));
         }
-        for (index, machine) in booked {
-            self.book(&TaskId { job: id.clone(), index }, &machine, block, now);
+        self.loads.insert(block, Load { record, version });
+        for id in &jobs {
+            self.rederive(id);
+            self.finish_if_over(id);
         }
         self.wakes.place = true;
-        self.rederive(&id);
-        self.finish_if_over(&id);
     }
 
     /// Brings the machines of a group up to its record. A machine that is no
--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -211,13 +211,7 @@
             .machines
             .values()
             .filter(|m| m.group.is_none() && self.role.holdings.contains_key(&m.block))
-            .filter(|m| {
-                m.tasks.iter().all(|t| {
-                    let Some(job) = self.open_job(&t.job) else { return true };
-                    let chunk = job.chunks.get(&(job.chunk_of(t.index), m.block));
-                    chunk.is_some_and(|(_, version)| *version <= self.followed)
-                })
-            })
+            .filter(|m| self.loads.get(&m.block).is_none_or(|l| l.version <= self.followed))
             .map(|m| m.id.clone())
             .collect();
         for id in orphans {
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -15,7 +15,7 @@
 mod session;
 
 pub use blocks::{Holding, Lease};
-pub use commit::{JobUnit, UnitEnd};
+pub use commit::{Subject, UnitEnd, WorkUnit};
 pub use fleet::FleetActions;
 pub use groups::GroupUnit;
 pub use session::{CommandEnd, HelloAnswer};
@@ -23,7 +23,9 @@
 use crate::jobs::{Job, OpenJob, Placed, TaskId};
 use crate::machines::Machine;
 use crate::options::Options;
-use crate::records::{BlockRecord, DrainRecord, GroupRecord, JobRecord, JobStage, LeaderRecord, LiveRecord};
+use crate::records::{
+    BlockRecord, DrainRecord, GroupRecord, JobRecord, JobStage, LeaderRecord, LiveRecord, LoadRecord,
+};
 use dapplecroft_sched::{Amounts, Demand, Teams};
 use dapplecroft_wire::cloud::Catalog;
 use dapplecroft_wire::settings::Settings;
@@ -99,32 +101,34 @@
     pub unadmitted: u32,
 }
 
-/// Jobs with something to commit, first come first served.
+/// What has something to commit, first come first served.
 #[derive(Debug, Default)]
 struct Queue {
-    order: VecDeque<Arc<str>>,
-    members: HashSet<Arc<str>>,
+    order: VecDeque<Subject>,
+    members: HashSet<Subject>,
 }
 
 impl Queue {
-    fn push(&mut self, id: &Arc<str>) {
-        if self.members.insert(id.clone()) {
-            self.order.push_back(id.clone());
+    fn push(&mut self, subject: Subject) {
+        if self.members.insert(subject.clone()) {
+            self.order.push_back(subject);
         }
     }
 
-    fn pop(&mut self) -> Option<Arc<str>> {
-        loop {
-            let id = self.order.pop_front()?;
-            if self.members.remove(&id) {
-                return Some(id);
-            }
-        }
+    fn pop(&mut self) -> Option<Subject> {
+        let subject = self.order.pop_front()?;
+        self.members.remove(&subject);
+        Some(subject)
     }
+}
 
-    fn remove(&mut self, id: &str) {
-        self.members.remove(id);
-    }
+/// What runs in a block, as recorded.
+#[derive(Debug, Clone, Default)]
+pub struct Load {
+    /// The record.
+    pub record: LoadRecord,
+    /// Its version.
+    pub version: u64,
 }
 
 /// A controller's knowledge and decisions.
@@ -147,12 +151,16 @@
     pub open: BTreeSet<Arc<str>>,
     /// Jobs that have waiting tasks.
     pub waiting: BTreeSet<Arc<str>>,
-    /// Jobs that are over, or withdrawn, with something to commit.
+    /// What ends jobs.
     first: Queue,
-    /// Jobs with admissions or placements to commit.
+    /// Jobs with admissions, and blocks with placements, to commit.
     dirty: Queue,
-    /// Jobs with nothing but ends of tasks to commit, since when.
-    lazy: VecDeque<(Instant, Arc<str>)>,
+    /// Blocks with nothing but ends of tasks to commit, since when.
+    lazy: VecDeque<(Instant, u32)>,
+    /// Units on their way, by number.
+    on_way: HashMap<Subject, u64>,
+    /// What has more to commit once its unit has ended.
+    again: HashSet<Subject>,
     units: u64,
     /// Withdrawn jobs about which something earlier may not be known yet.
     unsettled: BTreeSet<Arc<str>>,
@@ -161,6 +169,8 @@
     /// Machines of each block by what is free of their processors, so that a
     /// task looks only at those where it may fit.
     roomy: BTreeMap<u32, BTreeSet<(i64, Arc<str>)>>,
+    /// What runs in each block.
+    pub loads: BTreeMap<u32, Load>,
     /// Groups of machines.
     pub groups: BTreeMap<Arc<str>, Group>,
     /// Teams.
@@ -210,6 +220,9 @@
             first: Queue::default(),
             dirty: Queue::default(),
             lazy: VecDeque::new(),
+            on_way: HashMap::new(),
+            again: HashSet::new(),
+            loads: BTreeMap::new(),
             units: 0,
             unsettled: BTreeSet::new(),
             machines: IndexMap::default(),
@@ -286,17 +299,6 @@
         }
     }
 
-    /// Asks for a commit of what a job has to commit.
-    fn mark_dirty(&mut self, id: &Arc<str>) {
-        let over = self.open_job(id).is_some_and(|j| !j.is_open() || self.ends_job(j));
-        if over {
-            self.first.push(id);
-        } else {
-            self.dirty.push(id);
-        }
-        self.wakes.flush = true;
-    }
-
     /// How many jobs have admissions or placements that wait to be committed.
     pub fn backed_up(&self) -> usize {
         self.dirty.members.len()
@@ -317,29 +319,26 @@
         }
     }
 
-    /// Takes back all proposed placements of a job, or those in one block.
-    fn drop_proposals(&mut self, id: &Arc<str>, block: Option<u32>) {
-        let Some(job) = self.open_job(id) else { return };
-        let proposed: Vec<(u32, Placed)> = job
-            .placed
-            .iter()
-            .filter(|(_, p)| !p.committed && block.is_none_or(|b| b == p.block))
-            .map(|(i, p)| (*i, p.clone()))
-            .collect();
-        for (index, placed) in proposed {
-            self.withdraw_proposal(&TaskId { job: id.clone(), index }, &placed);
-        }
-        self.rederive(id);
+    /// Takes back all proposed placements of a job that are not on their way.
+    fn drop_proposals(&mut self, id: &Arc<str>) {
+        self.drop_if(id, |_, _, _| true);
     }
 
     /// Takes back proposals for tasks that the leader has taken back since from
     /// the block: the record that they would be bound to no longer allows them.
     fn drop_unadmitted(&mut self, id: &Arc<str>) {
+        self.drop_if(id, |job, index, p| !job.admits(p.block, index));
+    }
+
+    /// Takes back proposed placements. Those in a block with a unit on its way
+    /// may be in it: they are settled with it.
+    fn drop_if(&mut self, id: &Arc<str>, void: impl Fn(&OpenJob, u32, &Placed) -> bool) {
         let Some(job) = self.open_job(id) else { return };
         let void: Vec<(u32, Placed)> = job
             .placed
             .iter()
-            .filter(|(index, p)| !p.committed && !job.admits(p.block, **index))
+            .filter(|(index, p)| !p.committed && void(job, **index, p))
+            .filter(|(_, p)| !self.on_way.contains_key(&Subject::Block(p.block)))
             .map(|(i, p)| (*i, p.clone()))
             .collect();
         if void.is_empty() {
@@ -404,7 +403,6 @@
         JobRecord {
             stage,
             tasks: self.tasks,
-            chunk: 0,
             admitted: BTreeMap::new(),
             folded: Default::default(),
             done: Some(done),
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -357,7 +357,7 @@
         if placed > 0 {
             round.left = round.left.saturating_sub(placed);
             self.rederive(id);
-            self.mark_dirty(id);
+            self.mark_block(block);
         }
     }
 
--- a/crates/dapplecroft-controller/src/core/roles.rs
+++ b/crates/dapplecroft-controller/src/core/roles.rs
@@ -1,6 +1,6 @@
 //! Leadership, and how long this process may act without a confirmation.
 
-use super::{Core, fleet};
+use super::{Core, Subject, fleet};
 use crate::jobs::Job;
 use crate::records;
 use dapplecroft_wire::state::Condition;
@@ -75,10 +75,12 @@
         let jobs: Vec<Arc<str>> = self.open.iter().cloned().collect();
         for id in jobs {
             let Some(Job::Open(job)) = self.jobs.get_mut(&id) else { continue };
-            if job.committing.is_none() && !(job.admitting.is_empty() && job.revoking.is_empty()) {
+            let decided = !(job.admitting.is_empty() && job.revoking.is_empty());
+            if decided && !self.on_way.contains_key(&Subject::Job(id.clone())) {
                 job.admitting.clear();
                 job.revoking.clear();
-                self.drop_proposals(&id, None);
+                self.rederive(&id);
+                self.drop_unadmitted(&id);
             }
         }
         self.fleet = fleet::FleetState::default();
--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -203,6 +203,7 @@
     fn end(&mut self, task: &TaskId, attempt: u64, why: Option<ExitReason>, id: &str, now: Instant) {
         let Some(Job::Open(job)) = self.jobs.get_mut(&task.job) else { return };
         let done = why == Some(ExitReason::Done);
+        let Some(block) = job.placed.get(&task.index).map(|p| p.block) else { return };
         if job.exits.insert(task.index, Exit { attempt, done }).is_some() {
             return;
         }
@@ -236,7 +237,7 @@
             }
             _ => {}
         }
-        self.note_ends(&task.job, now);
+        self.note_end(&task.job, block, now);
     }
 
     /// Ends everything on a machine whose release was answered: it is gone.
--- a/crates/dapplecroft-controller/src/jobs.rs
+++ b/crates/dapplecroft-controller/src/jobs.rs
@@ -1,7 +1,7 @@
 //! Jobs as the records say, with what a block holder knows besides.
 
 use crate::ranges::Ranges;
-use crate::records::{ChunkRecord, JobRecord, JobStage};
+use crate::records::{JobRecord, JobStage};
 use dapplecroft_sched::{Amounts, Need};
 use dapplecroft_wire::users::{JobSpec, JobStatus, Rank, Stage};
 use std::collections::{BTreeMap, BTreeSet};
@@ -88,8 +88,10 @@
     pub spec: JobSpec,
     /// What each task needs.
     pub need: Arc<Need>,
-    /// Chunks by number and block, with their versions.
-    pub chunks: BTreeMap<(u32, u32), (ChunkRecord, u64)>,
+    /// Completed tasks by the block in whose record they are.
+    pub done_in: BTreeMap<u32, Ranges>,
+    /// Last attempts of tasks that ended unfinished, by block.
+    pub tries: BTreeMap<u32, BTreeMap<u32, u64>>,
     /// Tasks on machines or proposed.
     pub placed: BTreeMap<u32, Placed>,
     /// Completed tasks.
@@ -102,6 +104,8 @@
     pub admitting: BTreeMap<u32, Ranges>,
     /// Waiting tasks that this leader takes back, not committed yet.
     pub revoking: BTreeMap<u32, Ranges>,
+    /// Version of the record with which tasks were last taken back from blocks.
+    pub revoked: u64,
     /// Since when which task has been the first to wait in a block.
     pub stalled: BTreeMap<u32, (Instant, u32)>,
     /// How many tasks are counted against the team.
@@ -110,8 +114,6 @@
     pub served: Instant,
     /// Ends that are not committed yet.
     pub exits: BTreeMap<u32, Exit>,
-    /// The unit of this job that is on its way.
-    pub committing: Option<u64>,
     /// Machines on which its tasks failed since one last completed.
     pub failed_on: BTreeSet<String>,
     /// Failures since a task last completed.
@@ -152,18 +154,19 @@
             version,
             spec,
             need: Arc::new(need),
-            chunks: BTreeMap::new(),
+            done_in: BTreeMap::new(),
+            tries: BTreeMap::new(),
             placed: BTreeMap::new(),
             done: Ranges::default(),
             unadmitted: Ranges::default(),
             waiting: BTreeMap::new(),
             admitting: BTreeMap::new(),
             revoking: BTreeMap::new(),
+            revoked: 0,
             stalled: BTreeMap::new(),
             counted: 0,
             served: now,
             exits: BTreeMap::new(),
-            committing: None,
             failed_on: BTreeSet::new(),
             failures: 0,
             not_before: None,
@@ -177,10 +180,8 @@
     /// wait where.
     pub fn derive(&mut self) {
         let mut done = self.record.folded.clone();
-        for (chunk, _) in self.chunks.values() {
-            if !chunk.done.is_empty() {
-                done = done.union(&chunk.done);
-            }
+        for own in self.done_in.values() {
+            done = done.union(own);
         }
         self.done = done;
         self.waiting.clear();
@@ -189,7 +190,9 @@
             return;
         }
         let taken = self.done.union(&Ranges::ascending(self.placed.keys().copied()));
-        let mut admitted = self.done.clone();
+        // One that was taken back from a block while it was being placed there
+        // is on its machine all the same.
+        let mut admitted = taken.clone();
         let blocks: BTreeSet<u32> =
             self.record.admitted.keys().chain(self.admitting.keys()).copied().collect();
         for block in blocks {
@@ -221,18 +224,6 @@
         }
     }
 
-    /// The indices that belong to a chunk.
-    pub fn indices(&self, chunk: u32) -> std::ops::Range<u32> {
-        let size = self.record.chunk.max(1);
-        let first = chunk.saturating_mul(size).min(self.record.tasks);
-        first..first.saturating_add(size).min(self.record.tasks)
-    }
-
-    /// The chunk that an index belongs to.
-    pub fn chunk_of(&self, index: u32) -> u32 {
-        index / self.record.chunk.max(1)
-    }
-
     /// Whether a task is admitted to a block, or is being admitted.
     pub fn admits(&self, block: u32, index: u32) -> bool {
         let within = |ranges: &BTreeMap<u32, Ranges>| ranges.get(&block).is_some_and(|r| r.contains(index));
@@ -261,9 +252,7 @@
 
     /// The next attempt of a task.
     pub fn next_attempt(&self, index: u32) -> u64 {
-        let chunk = self.chunk_of(index);
-        let tries = self.chunks.range((chunk, 0)..=(chunk, u32::MAX));
-        tries.filter_map(|(_, (c, _))| c.tries.get(&index)).copied().max().unwrap_or(0) + 1
+        self.tries.values().filter_map(|t| t.get(&index)).copied().max().unwrap_or(0) + 1
     }
 
     /// The number by which ranks are ordered.
--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -1,6 +1,6 @@
 //! Placement rounds, commits of jobs, and direct commands to workers.
 
-use crate::core::{CommandEnd, JobUnit, UnitEnd};
+use crate::core::{CommandEnd, UnitEnd, WorkUnit};
 use crate::node::{Node, lock, now};
 use dapplecroft_net::{Failure, Request};
 use dapplecroft_state::UnitResult;
@@ -70,7 +70,7 @@
                 let (queued, joined) = tokio::sync::oneshot::channel();
                 self.spawn(async move {
                     let _ = queued.send(());
-                    node.commit_job(unit).await;
+                    node.commit_unit(unit).await;
                 });
                 let _ = joined.await;
             }
@@ -87,7 +87,7 @@
     /// Commits a unit until its outcome is certain. One whose outcome is
     /// unknown may be made much later; trying the same again settles it, since
     /// only one of the two can find its conditions true.
-    async fn commit_job(&self, unit: JobUnit) {
+    async fn commit_unit(&self, unit: WorkUnit) {
         let mut pause = Duration::from_millis(100);
         loop {
             match self.committer.commit(unit.unit.clone()).await {
@@ -96,19 +96,19 @@
                     return;
                 }
                 UnitResult::Conflict(failed) => {
-                    tracing::debug!(job = %unit.job, ?failed, "a change finds other records");
+                    tracing::debug!(subject = ?unit.subject, ?failed, "a change finds other records");
                     for key in failed {
                         self.refresh(&key, || true).await;
                     }
                     break;
                 }
                 UnitResult::Refused(error) if error.starts_with("status 400") => {
-                    tracing::error!(error, job = %unit.job, "the state service refuses a change as malformed");
+                    tracing::error!(error, subject = ?unit.subject, "the state service refuses a change as malformed");
                     sleep(Duration::from_secs(5)).await;
                     break;
                 }
                 UnitResult::Refused(error) | UnitResult::Unknown(error) => {
-                    tracing::debug!(error, job = %unit.job, "a change is not committed yet");
+                    tracing::debug!(error, subject = ?unit.subject, "a change is not committed yet");
                 }
             }
             sleep(pause).await;
--- a/crates/dapplecroft-controller/src/users.rs
+++ b/crates/dapplecroft-controller/src/users.rs
@@ -145,15 +145,10 @@
             }
         }
         let key = records::job_key(&id);
-        // As many placements as a value surely holds: index, attempt, machine
-        // and session.
-        let name = self.with(|core| core.machines.keys().map(|id| id.len()).max()).unwrap_or(0).max(12);
-        let chunk = (self.settings.params.state.value_kb * 1024.0 / (name as f64 + 34.0)) as u32;
         let at = self.wall_seconds();
         let record = JobRecord {
             stage: JobStage::Open,
             tasks: spec.tasks,
-            chunk: chunk.clamp(16, 512),
             admitted: Default::default(),
             folded: Default::default(),
             done: None,
@@ -259,7 +254,7 @@
 /// placement is bound to the record: then this is its final form already.
 fn withdrawn(job: &OpenJob) -> (JobRecord, u64) {
     let done = job.done.len();
-    let record = if job.chunks.is_empty() && job.record.admitted.is_empty() {
+    let record = if job.record.admitted.is_empty() && job.placed.is_empty() {
         job.record.compact(JobStage::Withdrawn, done)
     } else {
         JobRecord { stage: JobStage::Withdrawn, done: Some(done), ..job.record.clone() }
