--- a/crates/dapplecroft-controller/src/core/blocks.rs
+++ b/crates/dapplecroft-controller/src/core/blocks.rs
@@ -1,7 +1,7 @@
 //! Leases of machine blocks: which the leader gives to whom, and what a holder
 //! does when it gains or loses one.
 
-use super::{Core, Subject, drain};
+use super::{Core, Subject};
 use crate::jobs::Job;
 use crate::records::{self, BlockRecord};
 use dapplecroft_wire::state::{Change, Condition, Transaction};
@@ -180,7 +180,6 @@
                 placed.since = now;
             }
         }
-        self.draining = drain::DrainState::default();
         self.wakes.place = true;
         self.wakes.flush = true;
         self.wakes.fleet = true;
--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -7,6 +7,7 @@
 use crate::records::{self, JobStage, LoadRecord, Span};
 use dapplecroft_state::Unit;
 use dapplecroft_wire::state::{Change, Condition};
+use dapplecroft_wire::users::Rank;
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -18,6 +19,9 @@
 /// They wait longer for admissions and placements, but not for ever: a worker
 /// lists its tasks until their ends are committed.
 const LAZIEST: Duration = Duration::from_secs(6);
+/// While changes are scarce, a job or block without urgent work has its turn
+/// at most so often.
+const TURN: Duration = Duration::from_secs(1);
 /// Room that is kept in a block's record for the ends of what is placed.
 const SPARE: f64 = 0.75;
 
@@ -69,7 +73,9 @@
                 subject
             } else if due(LAZIEST) {
                 Subject::Block(self.lazy.pop_front()?.1)
-            } else if let Some(subject) = self.dirty.pop() {
+            } else if let Some(subject) = self.soon.pop() {
+                subject
+            } else if let Some(subject) = self.next_dirty(relaxed, now) {
                 subject
             } else if due(if relaxed { Duration::ZERO } else { LAZY }) {
                 Subject::Block(self.lazy.pop_front()?.1)
@@ -89,14 +95,30 @@
                 self.units += 1;
                 let number = self.units;
                 self.on_way.insert(subject.clone(), number);
+                self.sent_at.insert(subject.clone(), now);
                 return Some(WorkUnit { subject, unit, number, proposals });
             }
         }
     }
 
-    /// Whether ends of tasks wait for company.
+    /// The next job or block without urgent work. While changes are scarce, each
+    /// has its turn at most once in a while, and more to commit then.
+    fn next_dirty(&mut self, relaxed: bool, now: Instant) -> Option<Subject> {
+        for _ in 0..self.dirty.len() {
+            let subject = self.dirty.pop()?;
+            let recent =
+                self.sent_at.get(&subject).is_some_and(|at| now.saturating_duration_since(*at) < TURN);
+            if relaxed || !recent {
+                return Some(subject);
+            }
+            self.dirty.push(subject);
+        }
+        None
+    }
+
+    /// Whether something waits for its turn, or for company.
     pub fn has_lazy(&self) -> bool {
-        !self.lazy.is_empty()
+        !self.lazy.is_empty() || self.dirty.len() > 0
     }
 
     /// Asks for a commit of what a job has to commit.
@@ -106,15 +128,21 @@
         let subject = Subject::Job(id.clone());
         if over {
             self.first.push(subject);
+        } else if job.spec.priority < Rank::Normal {
+            self.soon.push(subject);
         } else {
             self.dirty.push(subject);
         }
         self.wakes.flush = true;
     }
 
-    /// Asks for a commit of what is proposed in a block.
-    pub(super) fn mark_block(&mut self, block: u32) {
-        self.dirty.push(Subject::Block(block));
+    /// Asks for a commit of what is proposed in a block, for urgent work or not.
+    pub(super) fn mark_block(&mut self, block: u32, urgent: bool) {
+        if urgent {
+            self.soon.push(Subject::Block(block));
+        } else {
+            self.dirty.push(Subject::Block(block));
+        }
         self.wakes.flush = true;
     }
 
@@ -366,12 +394,12 @@
                 if !self.role.holdings.contains_key(block) {
                     self.drop_proposals_in(*block);
                 } else if end == UnitEnd::NotMade {
-                    self.mark_block(*block);
+                    self.mark_block(*block, false);
                 }
             }
         }
         if self.again.remove(&unit.subject) {
-            self.dirty.push(unit.subject.clone());
+            self.soon.push(unit.subject.clone());
             self.wakes.flush = true;
         }
         self.wakes.place = true;
--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -1,12 +1,13 @@
 //! The copy of the records, and what follows from each change of it.
 
 use super::commit::{ranges_of, tasks_of};
-use super::{Core, Group, Load, reindex};
+use super::{Core, Group, Load, Subject, reindex};
 use crate::jobs::{Job, OpenJob, Placed, Stop, TaskId};
 use crate::machines::Machine;
 use crate::records::{GroupRecord, JobRecord, Key, LoadRecord, Span};
 use dapplecroft_wire::cloud::Catalog;
 use dapplecroft_wire::state::{Followed, Item};
+use dapplecroft_wire::users::Rank;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
@@ -205,15 +206,12 @@
         self.stop_withdrawn(&id);
         self.rederive(&id);
         self.drop_unadmitted(&id);
-        let own: Vec<u32> = self
-            .open_job(&id)
-            .into_iter()
-            .flat_map(|j| j.placed.values())
-            .filter(|p| !p.committed)
-            .map(|p| p.block)
-            .collect();
         // What was proposed on this admission can be committed now.
-        own.into_iter().for_each(|block| self.mark_block(block));
+        if let Some(job) = self.open_job(&id) {
+            let urgent = job.spec.priority < Rank::Normal;
+            let own: BTreeSet<u32> = job.placed.values().filter(|p| !p.committed).map(|p| p.block).collect();
+            own.into_iter().for_each(|block| self.mark_block(block, urgent));
+        }
         self.finish_if_over(&id);
     }
 
@@ -262,6 +260,7 @@
             self.teams.book(&team, amounts.times(-counted));
             self.jobs.remove(id);
         }
+        self.sent_at.remove(&Subject::Job(id.clone()));
         self.open.remove(id);
         self.waiting.remove(id);
     }
--- a/crates/dapplecroft-controller/src/core/drain.rs
+++ b/crates/dapplecroft-controller/src/core/drain.rs
@@ -21,12 +21,14 @@
     seen: Option<(u64, Instant)>,
     shares: VecDeque<(Instant, f64)>,
     turn: u32,
+    /// Whether a write of a drain's record is on its way.
+    writing: bool,
 }
 
 impl Core {
     /// The next step of repacking: a change of a drain's record, if any.
     pub fn drain_step(&mut self, now: Instant) -> Option<Unit> {
-        if self.role.holdings.is_empty() || !self.in_contact(now) {
+        if self.role.holdings.is_empty() || !self.in_contact(now) || self.draining.writing {
             return None;
         }
         let begun = self.drains.iter().find(|(block, _)| self.is_holder(**block));
@@ -59,9 +61,15 @@
         let key = records::drain_key(block);
         let conditions = vec![self.block_condition(block)?, Condition { key: key.clone(), version: 0 }];
         let value = serde_json::to_value(&record).ok()?;
+        self.draining.writing = true;
         Some(Unit { conditions, changes: vec![Change::Set { key, value, lease: None }] })
     }
 
+    /// Notes the end of a write of a drain's record.
+    pub fn drain_written(&mut self) {
+        self.draining.writing = false;
+    }
+
     fn block_condition(&self, block: u32) -> Option<Condition> {
         let holding = self.role.holdings.get(&block)?;
         Some(Condition { key: records::block_key(block), version: holding.version })
@@ -191,6 +199,7 @@
         }
         let key = records::drain_key(block);
         let conditions = vec![self.block_condition(block)?, Condition { key: key.clone(), version }];
+        self.draining.writing = true;
         Some(Unit { conditions, changes: vec![Change::Drop { key }] })
     }
 }
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -115,6 +115,10 @@
         }
     }
 
+    fn len(&self) -> usize {
+        self.order.len()
+    }
+
     fn pop(&mut self) -> Option<Subject> {
         let subject = self.order.pop_front()?;
         self.members.remove(&subject);
@@ -153,8 +157,12 @@
     pub waiting: BTreeSet<Arc<str>>,
     /// What ends jobs.
     first: Queue,
-    /// Jobs with admissions, and blocks with placements, to commit.
+    /// Jobs with admissions, and blocks with placements, of urgent work.
+    soon: Queue,
+    /// Those of other work.
     dirty: Queue,
+    /// When something of a job or block was last sent to be committed.
+    sent_at: HashMap<Subject, Instant>,
     /// Blocks with nothing but ends of tasks to commit, since when.
     lazy: VecDeque<(Instant, u32)>,
     /// Units on their way, by number.
@@ -218,7 +226,9 @@
             open: BTreeSet::new(),
             waiting: BTreeSet::new(),
             first: Queue::default(),
+            soon: Queue::default(),
             dirty: Queue::default(),
+            sent_at: HashMap::new(),
             lazy: VecDeque::new(),
             on_way: HashMap::new(),
             again: HashSet::new(),
@@ -301,7 +311,7 @@
 
     /// How many jobs have admissions or placements that wait to be committed.
     pub fn backed_up(&self) -> usize {
-        self.dirty.members.len()
+        self.soon.len() + self.dirty.len()
     }
 
     /// A job that is not over.
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -5,6 +5,7 @@
 use crate::jobs::{Job, OpenJob, Placed, TaskId};
 use crate::machines::Machine;
 use dapplecroft_sched::{Amounts, Candidate, Demand, HasImage, Need, TeamBook, best_fit};
+use dapplecroft_wire::users::Rank;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -320,6 +321,7 @@
             }
         }
         let constrained = job_is_constrained(self.open_job(id));
+        let urgent = self.open_job(id).is_some_and(|j| j.spec.priority < Rank::Normal);
         while !waiting.is_empty() {
             let Some(job) = self.open_job(id) else { return };
             let mut machines = self.candidates(id, job, block, &HashMap::new(), now);
@@ -357,7 +359,7 @@
         if placed > 0 {
             round.left = round.left.saturating_sub(placed);
             self.rederive(id);
-            self.mark_block(block);
+            self.mark_block(block, urgent);
         }
     }
 
--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -34,8 +34,8 @@
             // While decisions wait to be recorded, the next round waits too, and
             // decides more at a time.
             let scarce = self.state.write_room() < 0.3;
-            if self.with(|core| core.backed_up()) > 2 * self.committer.enough() {
-                sleep(LONGEST_ROUND / 2).await;
+            if scarce && self.with(|core| core.backed_up()) > 4 * self.committer.enough() {
+                sleep(LONGEST_ROUND / 4).await;
                 self.wake_place.notify_one();
                 continue;
             }
@@ -50,6 +50,7 @@
                         node.with(|core| core.apply_changes(&unit.changes, revision, now()));
                     }
                     // Else a later round sees what became of it.
+                    node.with(|core| core.drain_written());
                 });
             }
             let took = now().saturating_duration_since(began);
--- a/crates/dapplecroft-net/src/budget.rs
+++ b/crates/dapplecroft-net/src/budget.rs
@@ -56,7 +56,7 @@
     pub fn wait_for(&self, units: f64) -> Duration {
         let mut inner = self.lock();
         inner.refill();
-        let lacking = units.min(inner.rate) - inner.level;
+        let lacking = units.min(inner.rate.max(1.0)) - inner.level;
         Duration::from_secs_f64((lacking / inner.rate).clamp(0.0, 60.0))
     }
 
--- a/crates/dapplecroft-state/src/committer.rs
+++ b/crates/dapplecroft-state/src/committer.rs
@@ -14,6 +14,8 @@
 
 /// A group has the changes that this node may make in about so many seconds.
 const GROUP_SECONDS: f64 = 0.5;
+/// The part of a second's changes that is kept for what users wait for.
+const RESERVE: f64 = 0.3;
 /// How long a group gathers while requests are scarce.
 const GATHER: Duration = Duration::from_millis(50);
 
@@ -51,6 +53,7 @@
     queue: Mutex<VecDeque<Waiting>>,
     wake: Notify,
     taken: Notify,
+    urgent: Notify,
     max_changes: usize,
     bound: usize,
 }
@@ -59,7 +62,14 @@
     /// A committer for transactions of up to `max_changes`; it refuses units
     /// once `bound` are waiting.
     pub fn new(max_changes: usize, bound: usize) -> Self {
-        Committer { queue: Mutex::default(), wake: Notify::new(), taken: Notify::new(), max_changes, bound }
+        Committer {
+            queue: Mutex::default(),
+            wake: Notify::new(),
+            taken: Notify::new(),
+            urgent: Notify::new(),
+            max_changes,
+            bound,
+        }
     }
 
     /// How many units are waiting.
@@ -98,6 +108,7 @@
             }
             let waiting = Waiting { unit, bytes, reply, first };
             if first {
+                self.urgent.notify_one();
                 // Behind those that came first in the same way.
                 let at = queue.iter().position(|w| !w.first).unwrap_or(queue.len());
                 queue.insert(at, waiting);
@@ -121,7 +132,15 @@
             // since the service's bursts are shared, and one outdated condition
             // spoils it for more.
             let most = ((client.write_rate() * GROUP_SECONDS) as usize).clamp(2, self.max_changes);
-            client.wait_for_writes(most.min(self.waiting()) as f64).await;
+            if !self.first_waits() {
+                // A part of the burst is kept for what users wait for.
+                let reserve = client.write_rate() * RESERVE;
+                let wait = client.wait_for_writes(most.min(self.waiting()) as f64 + reserve);
+                tokio::select! {
+                    () = wait => {}
+                    () = self.urgent.notified() => {}
+                }
+            }
             let group = self.next_group(most);
             self.taken.notify_one();
             self.commit_group(&client, group).await;
@@ -209,8 +228,10 @@
             let full = changes + unit.changes.len() > most
                 || conditions.len() + fresh > 4 * self.max_changes
                 || bytes + next.bytes > MAX_BYTES;
+            // What users wait for goes at once, and so without the others.
+            let other = group.first().is_some_and(|w| w.first != next.first);
             // A unit that is too large by itself still goes, and is refused there.
-            if !group.is_empty() && (clash || full) {
+            if !group.is_empty() && (clash || full || other) {
                 break;
             }
             changes += unit.changes.len();
@@ -223,6 +244,10 @@
         group
     }
 
+    fn first_waits(&self) -> bool {
+        self.lock().front().is_some_and(|w| w.first)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, VecDeque<Waiting>> {
         self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
