--- a/crates/dapplecroft-controller/src/core/admission.rs
+++ b/crates/dapplecroft-controller/src/core/admission.rs
@@ -4,20 +4,33 @@
 use super::placing::Round;
 use crate::jobs::OpenJob;
 use crate::ranges::Ranges;
-use dapplecroft_sched::{Candidate, HasImage, best_fit};
+use dapplecroft_sched::{Amounts, Candidate, HasImage, best_fit};
+use dapplecroft_wire::peer::{BlockRoom, FreedRoom, RoomReply};
 use dapplecroft_wire::users::Rank;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Tasks that a block could not start for so long are taken back, if another
 /// block can start some.
-const STALLED: Duration = Duration::from_secs(5);
+const STALLED: Duration = Duration::from_secs(8);
 /// Part of a block's processors for which work may wait there, so that its
 /// holder fills what becomes free without asking; more for urgent work, for
 /// which other work gives way there.
 const BACKLOG: i64 = 8;
 const URGENT_BACKLOG: i64 = 4;
 
+/// How long a hint on free room counts.
+const HINT_LASTS: Duration = Duration::from_millis(1500);
+
+/// Room that another holder has told of.
+#[derive(Debug, Clone)]
+pub(super) struct Hint {
+    version: u64,
+    at: Instant,
+    freed: HashMap<Arc<str>, Amounts>,
+}
+
 /// What a block could start of a job.
 struct Fit {
     block: u32,
@@ -27,6 +40,64 @@
 }
 
 impl Core {
+    /// What has become free in this holder's blocks since their records.
+    pub fn freed_room(&self) -> RoomReply {
+        let mut blocks: BTreeMap<u32, BlockRoom> = BTreeMap::new();
+        for machine in self.machines.values().filter(|m| self.is_holder(m.block)) {
+            let mut freed = Amounts::default();
+            for task in &machine.tasks {
+                let Some(job) = self.open_job(&task.job) else { continue };
+                if job.placed.get(&task.index).is_some_and(|p| p.freed) {
+                    freed += job.need.amounts;
+                }
+            }
+            if freed != Amounts::default() {
+                let version = self.loads.get(&machine.block).map_or(0, |l| l.version);
+                let entry = blocks.entry(machine.block).or_insert_with(|| BlockRoom {
+                    block: machine.block,
+                    version,
+                    freed: Vec::new(),
+                });
+                entry.freed.push(FreedRoom {
+                    machine: machine.id.to_string(),
+                    cpus: freed.cpus,
+                    gpus: freed.gpus,
+                    memory: freed.memory,
+                });
+            }
+        }
+        RoomReply { blocks: blocks.into_values().collect() }
+    }
+
+    /// Takes over what has become free in another holder's blocks. It counts
+    /// only on top of the record that it was told with, and not for long.
+    pub fn take_room(&mut self, reply: &RoomReply, now: Instant) {
+        for block in &reply.blocks {
+            let current = self.loads.get(&block.block).map_or(0, |l| l.version);
+            if current != block.version || self.is_holder(block.block) {
+                continue;
+            }
+            let freed = block
+                .freed
+                .iter()
+                .map(|f| {
+                    let amounts = Amounts { cpus: f.cpus, gpus: f.gpus, memory: f.memory };
+                    (f.machine.as_str().into(), amounts)
+                })
+                .collect();
+            self.hints.insert(block.block, Hint { version: current, at: now, freed });
+            self.wakes.place = true;
+        }
+    }
+
+    /// What another holder has told to be free on a machine since its record.
+    pub(super) fn hinted(&self, block: u32, now: Instant) -> Option<&HashMap<Arc<str>, Amounts>> {
+        let hint = self.hints.get(&block)?;
+        let current = self.loads.get(&block).map_or(0, |l| l.version);
+        let fresh = now.saturating_duration_since(hint.at) < HINT_LASTS;
+        (fresh && hint.version == current).then_some(&hint.freed)
+    }
+
     /// Whether a block has a holder that is up.
     fn is_served(&self, block: u32) -> bool {
         self.is_holder(block) || self.holder_host(block).is_some()
@@ -94,7 +165,8 @@
             .iter()
             .filter(|(block, machines)| {
                 let most = machines.last().map_or(-1, |(free, _)| *free);
-                most >= job.need.amounts.cpus && self.is_served(**block)
+                (most >= job.need.amounts.cpus || self.hinted(**block, now).is_some())
+                    && self.is_served(**block)
             })
             .map(|(block, _)| self.fit(id, job, *block, round, now))
             .filter(|f| f.total > 0)
--- a/crates/dapplecroft-controller/src/core/blocks.rs
+++ b/crates/dapplecroft-controller/src/core/blocks.rs
@@ -1,7 +1,7 @@
 //! Leases of machine blocks: which the leader gives to whom, and what a holder
 //! does when it gains or loses one.
 
-use super::{Core, Subject};
+use super::{Core, Subject, reindex};
 use crate::jobs::Job;
 use crate::records::{self, BlockRecord};
 use dapplecroft_wire::state::{Change, Condition, Transaction};
@@ -196,6 +196,15 @@
         let jobs: Vec<Arc<str>> = self.open.iter().cloned().collect();
         for id in jobs {
             let Some(Job::Open(job)) = self.jobs.get_mut(&id) else { continue };
+            let amounts = job.need.amounts;
+            for p in job.placed.values_mut().filter(|p| p.block == block && p.freed) {
+                p.freed = false;
+                if let Some(machine) = self.machines.get_mut(&p.machine) {
+                    let before = machine.room().cpus;
+                    machine.booked += amounts;
+                    reindex(&mut self.roomy, machine, before);
+                }
+            }
             let placed = &job.placed;
             job.exits.retain(|i, _| placed.get(i).is_none_or(|p| p.block != block));
         }
--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -41,6 +41,8 @@
     pub subject: Subject,
     /// The unit.
     pub unit: Unit,
+    /// Whether urgent work or the end of a job waits for it.
+    pub urgent: bool,
     number: u64,
     proposals: Vec<(TaskId, Placed)>,
 }
@@ -67,14 +69,13 @@
             return None;
         }
         loop {
+            let urgent = self.first.len() + self.soon.len() > 0;
             let age = self.lazy.front().map(|(since, _)| now.saturating_duration_since(*since));
             let due = |least: Duration| age.is_some_and(|a| a >= least);
-            let subject = if let Some(subject) = self.first.pop() {
+            let subject = if let Some(subject) = self.first.pop().or_else(|| self.soon.pop()) {
                 subject
             } else if due(LAZIEST) {
                 Subject::Block(self.lazy.pop_front()?.1)
-            } else if let Some(subject) = self.soon.pop() {
-                subject
             } else if let Some(subject) = self.next_dirty(relaxed, now) {
                 subject
             } else if due(if relaxed { Duration::ZERO } else { LAZY }) {
@@ -96,7 +97,7 @@
                 let number = self.units;
                 self.on_way.insert(subject.clone(), number);
                 self.sent_at.insert(subject.clone(), now);
-                return Some(WorkUnit { subject, unit, number, proposals });
+                return Some(WorkUnit { subject, unit, urgent, number, proposals });
             }
         }
     }
--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -347,6 +347,7 @@
                         running: None,
                         sent: 0,
                         stop,
+                        freed: false,
                     };
                     let amounts = job.need.amounts;
                     job.placed.insert(task.index, placed);
--- a/crates/dapplecroft-controller/src/core/displace.rs
+++ b/crates/dapplecroft-controller/src/core/displace.rs
@@ -40,16 +40,15 @@
         let mut residents = Vec::new();
         for task in &machine.tasks {
             let Some(job) = self.open_job(&task.job) else { continue };
-            let Some(placed) = job.placed.get(&task.index) else { continue };
+            let Some(placed) = job.placed.get(&task.index).filter(|p| !p.freed) else { continue };
             // Time spent on fetching an image is lost with the task too.
             let ran = now.saturating_duration_since(placed.since);
-            let ended = job.exits.contains_key(&task.index);
             let resident = Resident {
                 slot,
                 need: job.need.clone(),
                 ran,
-                movable: placed.committed && !ended && ran <= oldest && job.spec.kind == "sweep",
-                leaving: placed.stop.is_some() || ended,
+                movable: placed.committed && ran <= oldest && job.spec.kind == "sweep",
+                leaving: placed.stop.is_some(),
                 rank: job.rank(),
                 beyond_guarantee: self.teams.get(&job.spec.team).is_some_and(|b| b.beyond_guarantee()),
             };
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -177,6 +177,8 @@
     /// Machines of each block by what is free of their processors, so that a
     /// task looks only at those where it may fit.
     roomy: BTreeMap<u32, BTreeSet<(i64, Arc<str>)>>,
+    /// Room that other holders have told of.
+    hints: BTreeMap<u32, admission::Hint>,
     /// What runs in each block.
     pub loads: BTreeMap<u32, Load>,
     /// Groups of machines.
@@ -237,6 +239,7 @@
             unsettled: BTreeSet::new(),
             machines: IndexMap::default(),
             roomy: BTreeMap::new(),
+            hints: BTreeMap::new(),
             groups: BTreeMap::new(),
             teams,
             leader: None,
@@ -278,6 +281,24 @@
         if let Some(machine) = self.machines.get_mut(&placed.machine)
             && machine.tasks.remove(task)
         {
+            if !placed.freed {
+                let before = machine.room().cpus;
+                machine.booked -= amounts;
+                reindex(&mut self.roomy, machine, before);
+            }
+        }
+        self.wakes.place = true;
+    }
+
+    /// Frees the room of a task that has left its machine by proof. The record
+    /// of its end is on its way; what is placed in that room is committed with
+    /// it or after it, since both are in the same record.
+    fn free(&mut self, task: &TaskId) {
+        let Some(Job::Open(job)) = self.jobs.get_mut(&task.job) else { return };
+        let amounts = job.need.amounts;
+        let Some(placed) = job.placed.get_mut(&task.index).filter(|p| !p.freed) else { return };
+        placed.freed = true;
+        if let Some(machine) = self.machines.get_mut(&placed.machine) {
             let before = machine.room().cpus;
             machine.booked -= amounts;
             reindex(&mut self.roomy, machine, before);
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -254,32 +254,45 @@
         let kept = self.drains.get(&block).map(|(d, _)| d).filter(|d| *d.for_job != **id);
         // Where it failed, unless it fails everywhere.
         let avoid = job.failed_on.len() < 2;
-        let least: (i64, Arc<str>) = (need.amounts.cpus, "".into());
-        roomy
-            .range(least..)
-            .filter_map(|(_, name)| {
-                let machine = self.machines.get(name)?;
-                let open = match epoch {
-                    Some(epoch) => machine.open(epoch, silence, now),
-                    None => machine.seems_open(),
+        let hinted = if epoch.is_none() { self.hinted(block, now) } else { None };
+        let consider = |name: &Arc<str>| {
+            let machine = self.machines.get(name)?;
+            let open = match epoch {
+                Some(epoch) => machine.open(epoch, silence, now),
+                None => machine.seems_open(),
+            };
+            let barred =
+                kept.is_some_and(|d| *d.machine == **name) || (avoid && job.failed_on.contains(&**name));
+            if !open || barred || !need.allows(&machine.machine_type, &machine.zone, machine.spot) {
+                return None;
+            }
+            let mut booked = machine.booked + reserved.get(name).copied().unwrap_or_default();
+            if let Some(freed) = hinted.and_then(|h| h.get(name)) {
+                booked -= *freed;
+            }
+            need.amounts.fits(&(machine.capacity - booked)).then(|| {
+                let candidate = Candidate {
+                    capacity: machine.capacity,
+                    booked,
+                    image: has_image(machine, need),
+                    doubtful: !machine.failed_jobs.is_empty(),
                 };
-                let barred =
-                    kept.is_some_and(|d| *d.machine == **name) || (avoid && job.failed_on.contains(&**name));
-                if !open || barred || !need.allows(&machine.machine_type, &machine.zone, machine.spot) {
-                    return None;
-                }
-                let booked = machine.booked + reserved.get(name).copied().unwrap_or_default();
-                need.amounts.fits(&(machine.capacity - booked)).then(|| {
-                    let candidate = Candidate {
-                        capacity: machine.capacity,
-                        booked,
-                        image: has_image(machine, need),
-                        doubtful: !machine.failed_jobs.is_empty(),
-                    };
-                    (name.clone(), candidate)
-                })
+                (name.clone(), candidate)
             })
-            .collect()
+        };
+        let least: (i64, Arc<str>) = (need.amounts.cpus, "".into());
+        let mut found: Vec<(Arc<str>, Candidate)> =
+            roomy.range(least..).filter_map(|(_, name)| consider(name)).collect();
+        if let Some(hinted) = hinted {
+            // Those that have room only by what was told besides their record.
+            let mut more: Vec<&Arc<str>> = hinted
+                .keys()
+                .filter(|name| self.machines.get(*name).is_some_and(|m| m.room().cpus < need.amounts.cpus))
+                .collect();
+            more.sort_unstable();
+            found.extend(more.into_iter().filter_map(consider));
+        }
+        found
     }
 
     /// How long a worker may be silent before it takes no more work.
@@ -395,6 +408,7 @@
                 running: None,
                 sent: 0,
                 stop: None,
+                freed: false,
             },
         );
         self.book(task, machine, block, now);
--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -237,6 +237,7 @@
             }
             _ => {}
         }
+        self.free(task);
         self.note_end(&task.job, block, now);
     }
 
--- a/crates/dapplecroft-controller/src/jobs.rs
+++ b/crates/dapplecroft-controller/src/jobs.rs
@@ -66,6 +66,9 @@
     pub sent: u64,
     /// Whether it is to be stopped.
     pub stop: Option<Stop>,
+    /// Whether its room is free already: it has left its machine by proof, and
+    /// the record of that is on its way.
+    pub freed: bool,
 }
 
 /// How a task's stay on a machine ended, by proof.
--- a/crates/dapplecroft-controller/src/loops.rs
+++ b/crates/dapplecroft-controller/src/loops.rs
@@ -25,6 +25,7 @@
         loops.spawn(self.clone().cloud_loop());
         loops.spawn(self.clone().health_loop());
         loops.spawn(self.clone().summary_loop());
+        loops.spawn(self.clone().room_loop());
         let node = self.clone();
         loops.spawn(async move { node.committer.run(node.state.clone()).await });
         loops.join_next().await;
--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -91,7 +91,12 @@
     async fn commit_unit(&self, unit: WorkUnit) {
         let mut pause = Duration::from_millis(100);
         loop {
-            match self.committer.commit(unit.unit.clone()).await {
+            let result = if unit.urgent {
+                self.committer.commit_first(unit.unit.clone()).await
+            } else {
+                self.committer.commit(unit.unit.clone()).await
+            };
+            match result {
                 UnitResult::Committed(revision) => {
                     self.with(|core| core.unit_ended(&unit, UnitEnd::Committed(revision), now()));
                     return;
--- a/crates/dapplecroft-controller/src/peers.rs
+++ b/crates/dapplecroft-controller/src/peers.rs
@@ -5,13 +5,15 @@
 use dapplecroft_net::Request;
 use dapplecroft_wire::peer::peer_server::Peer as PeerProtocol;
 use dapplecroft_wire::peer::{
-    ForwardReply, ForwardRequest, ProbeReply, ProbeRequest, SightReply, SightRequest,
+    ForwardReply, ForwardRequest, ProbeReply, ProbeRequest, RoomReply, RoomRequest, SightReply, SightRequest,
 };
 use dapplecroft_wire::settings::Peer;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinSet;
 
+/// How often the leader asks for room that is not recorded yet.
+const ROOM_EVERY: Duration = Duration::from_millis(500);
 /// How long a worker has to answer a probe.
 pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -22,6 +24,8 @@
     async fn probe(&self, peer: &Peer, addresses: Vec<String>) -> Option<Vec<String>>;
     /// How the peer sees the world.
     async fn sight(&self, peer: &Peer) -> Option<SightReply>;
+    /// Room that has become free in the peer's blocks and is not recorded yet.
+    async fn room(&self, peer: &Peer) -> Option<RoomReply>;
     /// Has a user's request answered by the peer.
     async fn forward(&self, peer: &Peer, request: ForwardRequest) -> Option<Reply>;
 }
@@ -38,6 +42,9 @@
     async fn sight(&self, _: &Peer) -> Option<SightReply> {
         None
     }
+    async fn room(&self, _: &Peer) -> Option<RoomReply> {
+        None
+    }
     async fn forward(&self, _: &Peer, _: ForwardRequest) -> Option<Reply> {
         None
     }
@@ -58,6 +65,11 @@
         }
     }
 
+    /// Room that has become free in this node's blocks and is not recorded yet.
+    pub fn own_room(&self) -> RoomReply {
+        self.0.with(|core| core.freed_room())
+    }
+
     /// Answers another node's user, from what this node knows and reaches.
     pub async fn own_forward(&self, request: ForwardRequest) -> Option<Reply> {
         let method = http::Method::from_bytes(request.method.as_bytes()).ok()?;
@@ -92,6 +104,13 @@
         Ok(tonic::Response::new(ProbeReply { reached }))
     }
 
+    async fn room(
+        &self,
+        _: tonic::Request<RoomRequest>,
+    ) -> Result<tonic::Response<RoomReply>, tonic::Status> {
+        Ok(tonic::Response::new(self.own_room()))
+    }
+
     async fn forward(
         &self,
         request: tonic::Request<ForwardRequest>,
@@ -105,6 +124,26 @@
 }
 
 impl Node {
+    /// As leader, asks the holders again and again what has become free, since
+    /// their records follow only when changes are to be had.
+    pub(crate) async fn room_loop(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(ROOM_EVERY).await;
+            let ask = self.with(|core| core.leads(now()) && core.blocks.len() > core.role.holdings.len());
+            if !ask {
+                continue;
+            }
+            let mut asked = JoinSet::new();
+            for peer in &self.settings.peers {
+                let (peers, peer) = (self.peers.clone(), peer.clone());
+                asked.spawn(async move { peers.room(&peer).await });
+            }
+            for reply in asked.join_all().await.into_iter().flatten() {
+                self.with(|core| core.take_room(&reply, now()));
+            }
+        }
+    }
+
     /// How long ago the state service last answered this node's renewal.
     pub(crate) fn state_age(&self) -> Option<Duration> {
         lock(&self.touched).map(|at| now().saturating_duration_since(at))
--- a/crates/dapplecroft-controller/tests/stories/cluster.rs
+++ b/crates/dapplecroft-controller/tests/stories/cluster.rs
@@ -4,7 +4,7 @@
 use dapplecroft_controller::{Node, Options, Parts, PeerService, Peers, Reply};
 use dapplecroft_fakes::{FakeCloud, FakeState, Handler, Net, Referee, WorkerTiming};
 use dapplecroft_net::Response;
-use dapplecroft_wire::peer::{ForwardRequest, SightReply};
+use dapplecroft_wire::peer::{ForwardRequest, RoomReply, SightReply};
 use dapplecroft_wire::settings::{Peer, Settings};
 use http::Method;
 use serde_json::{Value, json};
@@ -43,6 +43,10 @@
         let node = self.0.lock().unwrap().get(&peer.host_name).cloned()?;
         Some(PeerService(node).own_sight())
     }
+    async fn room(&self, peer: &Peer) -> Option<RoomReply> {
+        let node = self.0.lock().unwrap().get(&peer.host_name).cloned()?;
+        Some(PeerService(node).own_room())
+    }
     async fn forward(&self, peer: &Peer, request: ForwardRequest) -> Option<Reply> {
         let node = self.0.lock().unwrap().get(&peer.host_name).cloned()?;
         PeerService(node).own_forward(request).await
--- a/crates/dapplecroft-state/src/committer.rs
+++ b/crates/dapplecroft-state/src/committer.rs
@@ -132,7 +132,11 @@
             // since the service's bursts are shared, and one outdated condition
             // spoils it for more.
             let most = ((client.write_rate() * GROUP_SECONDS) as usize).clamp(2, self.max_changes);
-            if !self.first_waits() {
+            if self.first_waits() {
+                // At once, unless what went at once has used up the next half
+                // second's changes already.
+                client.wait_for_writes(-client.write_rate() * 0.5).await;
+            } else {
                 // A part of the burst is kept for what users wait for.
                 let reserve = client.write_rate() * RESERVE;
                 let wait = client.wait_for_writes(most.min(self.waiting()) as f64 + reserve);
--- a/crates/dapplecroft/src/grpc.rs
+++ b/crates/dapplecroft/src/grpc.rs
@@ -3,7 +3,9 @@
 use dapplecroft_controller::{PeerService, Peers, Reply};
 use dapplecroft_wire::peer::peer_client::PeerClient;
 use dapplecroft_wire::peer::peer_server::PeerServer;
-use dapplecroft_wire::peer::{ForwardRequest, ProbeRequest, SightReply, SightRequest};
+use dapplecroft_wire::peer::{
+    ForwardRequest, ProbeRequest, RoomReply, RoomRequest, SightReply, SightRequest,
+};
 use dapplecroft_wire::settings::Peer;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -49,6 +51,12 @@
         Some(reply.into_inner())
     }
 
+    async fn room(&self, peer: &Peer) -> Option<RoomReply> {
+        let mut client = self.client(peer)?;
+        let reply = tokio::time::timeout(SIGHT_TIMEOUT, client.room(RoomRequest {})).await.ok()?.ok()?;
+        Some(reply.into_inner())
+    }
+
     async fn forward(&self, peer: &Peer, request: ForwardRequest) -> Option<Reply> {
         let mut client = self.client(peer)?;
         let reply = tokio::time::timeout(TIMEOUT, client.forward(request)).await.ok()?.ok()?.into_inner();
