--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -15,15 +15,21 @@
 
 /// Ends of tasks that leave their job unfinished wait this long for others to
 /// share a change with, while changes are scarce.
-const LAZY: Duration = Duration::from_secs(2);
+const LAZY: Duration = Duration::from_secs(3);
 /// They wait longer for admissions and placements, but not for ever: a worker
 /// lists its tasks until their ends are committed.
-const LAZIEST: Duration = Duration::from_secs(6);
+const LAZIEST: Duration = Duration::from_secs(8);
+/// A proposal that found no room in its block's record for so long is decided
+/// again.
+const STUCK: Duration = Duration::from_secs(4);
 /// While changes are scarce, a job or block without urgent work has its turn
 /// at most so often.
-const TURN: Duration = Duration::from_secs(1);
-/// Room that is kept in a block's record for the ends of what is placed.
-const SPARE: f64 = 0.75;
+const TURN: Duration = Duration::from_millis(1500);
+/// Nothing more is placed in a block whose record has so much of a value's
+/// limit: what is left is for the ends of what is placed.
+const SPARE: f64 = 0.7;
+/// Nothing that is proposed goes into a record beyond this part.
+const FULL: f64 = 0.85;
 
 /// Whose records a unit changes.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -163,7 +169,7 @@
     /// holder; and the proposals in it.
     fn new_load(&self, block: u32) -> (LoadRecord, Vec<(TaskId, Placed)>) {
         let params = &self.settings.params.state;
-        let most = (params.value_kb * 1024.0 * SPARE) as usize;
+        let most = (params.value_kb * 1024.0 * FULL) as usize;
         let most_jobs = params.txn_ops * 3;
         let mut record = LoadRecord::default();
         let mut proposals = Vec::new();
@@ -201,13 +207,20 @@
                 *size += p.machine.len() + 6;
             }
             let spans = record.machines.entry(p.machine.to_string()).or_default();
-            let joins =
-                |s: &&mut Span| s.0 == job && s.2 + 1 == task.index && s.3 == p.attempt && s.4 == p.session;
+            let joins = |s: &&mut Span| {
+                s.job == job && s.last + 1 == task.index && s.attempt == p.attempt && s.session == p.session
+            };
             match spans.last_mut().filter(joins) {
-                Some(span) => span.2 = task.index,
+                Some(span) => span.last = task.index,
                 None => {
-                    *size += 18;
-                    spans.push((job, task.index, task.index, p.attempt, p.session));
+                    *size += 14;
+                    spans.push(Span {
+                        job,
+                        first: task.index,
+                        last: task.index,
+                        attempt: p.attempt,
+                        session: p.session,
+                    });
                 }
             }
         };
@@ -396,6 +409,8 @@
                     self.drop_proposals_in(*block);
                 } else if end == UnitEnd::NotMade {
                     self.mark_block(*block, false);
+                } else {
+                    self.drop_stuck(*block, now);
                 }
             }
         }
@@ -406,6 +421,31 @@
         self.wakes.place = true;
     }
 
+    /// Whether a block's record has no room for more placements.
+    pub(super) fn is_record_full(&self, block: u32) -> bool {
+        let limit = self.settings.params.state.value_kb * 1024.0 * SPARE;
+        self.loads.get(&block).is_some_and(|l| l.size as f64 > limit)
+    }
+
+    /// Takes back proposals that found no room in their block's record.
+    fn drop_stuck(&mut self, block: u32, now: Instant) {
+        let stuck: Vec<(TaskId, Placed)> = self
+            .machines
+            .values()
+            .filter(|m| m.block == block)
+            .flat_map(|m| &m.tasks)
+            .filter_map(|t| Some((t.clone(), self.open_job(&t.job)?.placed.get(&t.index)?.clone())))
+            .filter(|(_, p)| !p.committed && now.saturating_duration_since(p.since) > STUCK)
+            .collect();
+        let jobs: BTreeSet<Arc<str>> = stuck.iter().map(|(t, _)| t.job.clone()).collect();
+        for (task, placed) in stuck {
+            self.withdraw_proposal(&task, &placed);
+        }
+        for id in jobs {
+            self.rederive(&id);
+        }
+    }
+
     /// Takes back all that is proposed in a block and not on its way.
     pub(super) fn drop_proposals_in(&mut self, block: u32) {
         let proposed: Vec<(TaskId, Placed)> = self
@@ -443,7 +483,7 @@
         .iter()
         .map(|(machine, spans)| {
             let named =
-                spans.iter().filter_map(|s| Some((record.jobs.get(s.0 as usize)?.as_str(), *s))).collect();
+                spans.iter().filter_map(|s| Some((record.jobs.get(s.job as usize)?.as_str(), *s))).collect();
             (machine.as_str(), named)
         })
         .collect()
--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -111,8 +111,9 @@
                 }
             }
             Some(Key::Load(block)) => {
+                let size = value.as_ref().map_or(0, |v| v.to_string().len());
                 if let Some(record) = read::<LoadRecord>(key, value) {
-                    self.apply_load(block, record, version, now);
+                    self.apply_load(block, record, size, version, now);
                 }
             }
             Some(Key::Group(name)) => match value {
@@ -267,14 +268,15 @@
 
     /// Brings what runs in a block up to its record. Only machines whose spans
     /// changed are looked at.
-    fn apply_load(&mut self, block: u32, record: LoadRecord, version: u64, now: Instant) {
+    fn apply_load(&mut self, block: u32, record: LoadRecord, size: usize, version: u64, now: Instant) {
         let old = self.loads.remove(&block).unwrap_or_default();
         let (before, after) = (tasks_of(&old.record), tasks_of(&record));
         let same = |a: &[(&str, Span)], b: &[(&str, Span)]| {
             a.len() == b.len()
-                && a.iter()
-                    .zip(b)
-                    .all(|((j, s), (k, t))| j == k && (s.1, s.2, s.3, s.4) == (t.1, t.2, t.3, t.4))
+                && a.iter().zip(b).all(|((j, s), (k, t))| {
+                    j == k
+                        && (s.first, s.last, s.attempt, s.session) == (t.first, t.last, t.attempt, t.session)
+                })
         };
         let mut jobs: BTreeSet<Arc<str>> = BTreeSet::new();
         let names: BTreeSet<&str> = before.keys().chain(after.keys()).copied().collect();
@@ -291,11 +293,11 @@
         for name in &changed {
             let machine: Arc<str> = (*name).into();
             let mut there: BTreeMap<TaskId, (u64, u64)> = BTreeMap::new();
-            for (id, (_, first, last, attempt, session)) in after.get(name).into_iter().flatten() {
+            for (id, span) in after.get(name).into_iter().flatten() {
                 let Some((id, job)) = self.jobs.get_key_value(*id) else { continue };
                 let Job::Open(job) = job else { continue };
-                for index in *first..=(*last).min(job.record.tasks.saturating_sub(1)) {
-                    there.insert(TaskId { job: id.clone(), index }, (*attempt, *session));
+                for index in span.first..=span.last.min(job.record.tasks.saturating_sub(1)) {
+                    there.insert(TaskId { job: id.clone(), index }, (span.attempt, span.session));
                 }
             }
             if let Some(known) = self.machines.get(&machine) {
@@ -390,7 +392,7 @@
             let placed = &job.placed;
             job.exits.retain(|i, e| placed.get(i).is_some_and(|p| p.attempt == e.attempt));
         }
-        self.loads.insert(block, Load { record, version });
+        self.loads.insert(block, Load { record, version, size });
         for id in &jobs {
             self.rederive(id);
             self.finish_if_over(id);
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -133,6 +133,8 @@
     pub record: LoadRecord,
     /// Its version.
     pub version: u64,
+    /// How many bytes it takes.
+    pub size: usize,
 }
 
 /// A controller's knowledge and decisions.
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -248,7 +248,9 @@
         now: Instant,
     ) -> Vec<(Arc<str>, Candidate)> {
         let need = &job.need;
-        let Some(roomy) = self.roomy.get(&block) else { return Vec::new() };
+        let Some(roomy) = self.roomy.get(&block).filter(|_| !self.is_record_full(block)) else {
+            return Vec::new();
+        };
         let epoch = self.role.holdings.get(&block).map(|h| h.epoch);
         let silence = self.silence();
         let kept = self.drains.get(&block).map(|(d, _)| d).filter(|d| *d.for_job != **id);
--- a/crates/dapplecroft-controller/src/loops/election.rs
+++ b/crates/dapplecroft-controller/src/loops/election.rs
@@ -231,7 +231,7 @@
         let params = &self.settings.params;
         let share = self.with(|core| core.write_share());
         let rps = params.state.rps / f64::from(params.nodes.max(1));
-        self.state.set_rates(rps, (params.state.write_rps * share * 0.97).max(2.0));
+        self.state.set_rates(rps, (params.state.write_rps * share * 0.94).max(2.0));
     }
 
     /// Watches whether this node has lost the state service, and whether it is
--- a/crates/dapplecroft-controller/src/records.rs
+++ b/crates/dapplecroft-controller/src/records.rs
@@ -2,7 +2,8 @@
 
 use crate::ranges::Ranges;
 use dapplecroft_wire::users::JobSpec;
-use serde::{Deserialize, Serialize};
+use serde::de::Error;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::collections::BTreeMap;
 
 /// Prefix of all keys, so that one watch sees every change.
@@ -139,9 +140,53 @@
     pub tries: BTreeMap<String, BTreeMap<u32, u64>>,
 }
 
-/// Neighbouring tasks of a job on a machine: the job's position, the first and
-/// the last task, their attempt, and the worker's session.
-pub type Span = (u32, u32, u32, u64, u64);
+/// Neighbouring tasks of a job on a machine. A list of numbers in the record,
+/// the shorter the more of them have their usual values, since a value has a
+/// limit and a block may have a thousand tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Span {
+    /// The job's position among the record's names.
+    pub job: u32,
+    /// The first task.
+    pub first: u32,
+    /// The last task; usually the first.
+    pub last: u32,
+    /// Their attempt; usually 1.
+    pub attempt: u64,
+    /// The worker's session that they were placed in; usually 1.
+    pub session: u64,
+}
+
+impl Serialize for Span {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let all =
+            [u64::from(self.job), u64::from(self.first), u64::from(self.last), self.attempt, self.session];
+        let length = match (self.last == self.first, self.attempt, self.session) {
+            (_, _, session) if session != 1 => 5,
+            (_, attempt, _) if attempt != 1 => 4,
+            (false, _, _) => 3,
+            _ => 2,
+        };
+        serializer.collect_seq(&all[..length])
+    }
+}
+
+impl<'de> Deserialize<'de> for Span {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let all = Vec::<u64>::deserialize(deserializer)?;
+        let small = |n: u64| u32::try_from(n).map_err(|_| D::Error::custom("a position beyond all"));
+        let (Some(job), Some(first)) = (all.first(), all.get(1)) else {
+            return Err(D::Error::custom("neither job nor task"));
+        };
+        Ok(Span {
+            job: small(*job)?,
+            first: small(*first)?,
+            last: small(*all.get(2).unwrap_or(first))?,
+            attempt: all.get(3).copied().unwrap_or(1),
+            session: all.get(4).copied().unwrap_or(1),
+        })
+    }
+}
 
 /// The leader.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -217,6 +262,22 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn spans_are_as_short_as_they_can_be_and_read_back_the_same() {
+        for (text, first, last, attempt, session) in [
+            ("[3,7]", 7, 7, 1, 1),
+            ("[3,7,9]", 7, 9, 1, 1),
+            ("[3,7,7,2]", 7, 7, 2, 1),
+            ("[3,7,9,1,4]", 7, 9, 1, 4),
+        ] {
+            let span = Span { job: 3, first, last, attempt, session };
+            assert_eq!(serde_json::to_string(&span).unwrap(), text);
+            assert_eq!(serde_json::from_str::<Span>(text).unwrap(), span);
+        }
+        assert!(serde_json::from_str::<Span>("[3]").is_err());
+        assert!(serde_json::from_str::<Span>("[3,4294967296]").is_err());
+    }
+
     #[test]
     fn keys_are_taken_apart() {
         assert_eq!(Key::parse(&load_key(3)), Some(Key::Load(3)));
