--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -241,6 +241,7 @@
     /// probed; returns those that are due to be released.
     fn judge_machines(&mut self, actions: &mut FleetActions, now: Instant) -> BTreeSet<Arc<str>> {
         let report = self.settings.report_every();
+        let lease = Duration::from_secs_f64(self.settings.params.workers.lease_s * 1.1);
         let hulls = self.catalog.iter().flat_map(|c| &c.hulls);
         let boots: BTreeMap<String, Duration> =
             hulls.map(|h| (h.name.clone(), self.boot_time(&h.name))).collect();
@@ -275,6 +276,16 @@
                     probes += 1;
                     actions.probe.push((machine.id.clone(), address.clone()));
                 }
+                // Its reports arrive, but nothing reaches it: its worker has ended
+                // its tasks for want of an answer, and it is of no more use.
+                let deaf = machine.deaf_since.is_some_and(|at| now.saturating_duration_since(at) > lease);
+                if deaf && machine.fate != Fate::Lost {
+                    tracing::info!(
+                        machine = &*machine.id,
+                        "a machine that reports and hears nothing is given up"
+                    );
+                    machine.fate = Fate::Lost;
+                }
                 if silence > report.mul_f64(1.9) && machine.missed_probes >= 1 && machine.fate != Fate::Lost {
                     let address = machine.address.clone().unwrap_or_default();
                     actions.silent.push((machine.id.clone(), address));
--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -110,6 +110,7 @@
         }
         machine.reported = tasks;
         let synced = machine.synced(holding.epoch);
+        machine.deaf_since = if synced { None } else { machine.deaf_since.or(Some(now)) };
         if first || synced {
             self.wakes.place = true;
         }
--- a/crates/dapplecroft-controller/src/machines.rs
+++ b/crates/dapplecroft-controller/src/machines.rs
@@ -45,6 +45,8 @@
     pub since: Instant,
     /// When its worker was last heard.
     pub heard: Option<Instant>,
+    /// Since when its reports show that it has not taken the present token.
+    pub deaf_since: Option<Instant>,
     /// The worker's session.
     pub session: u64,
     /// Number of its newest message.
@@ -97,6 +99,7 @@
             address: None,
             since: now,
             heard: None,
+            deaf_since: None,
             session: 0,
             sequence: 0,
             seen_token: 0,
@@ -173,6 +176,7 @@
     pub fn reset(&mut self, now: Instant) {
         self.since = now;
         self.heard = None;
+        self.deaf_since = None;
         self.session = 0;
         self.sequence = 0;
         self.seen_token = 0;
--- a/crates/dapplecroft-controller/tests/stories/cluster.rs
+++ b/crates/dapplecroft-controller/tests/stories/cluster.rs
@@ -188,6 +188,7 @@
         for attempt in 0..60 {
             let (status, answer) = self.call(attempt % NODES, Method::POST, "/v2/runs", &body).await;
             if status == 201 || status == 200 {
+                self.referee.accepted(id);
                 return;
             }
             assert_eq!(status, 503, "{answer}");
@@ -212,7 +213,41 @@
     }
 
     pub async fn show(&self, n: usize, id: &str) -> (u16, Value) {
-        self.call(n, Method::GET, &format!("/v2/runs/{id}"), &Value::Null).await
+        let answer = self.call(n, Method::GET, &format!("/v2/runs/{id}"), &Value::Null).await;
+        if answer.0 == 200 {
+            self.referee.answered(id);
+        }
+        answer
+    }
+
+    /// All troubles are over: within 75 s every controller answers about every
+    /// job, and no job is forgotten.
+    pub async fn assert_day_ends(&self, jobs: &[&str]) {
+        self.net.clear_rules();
+        self.referee.calm();
+        let end = Instant::now() + Duration::from_secs(75);
+        for id in jobs {
+            for n in 0..NODES {
+                while self.show(n, id).await.0 != 200 {
+                    assert!(Instant::now() < end, "{id} is not answered by {n}");
+                    sleep(Duration::from_millis(500)).await;
+                }
+            }
+        }
+        sleep((end + Duration::from_secs(1)).saturating_duration_since(Instant::now())).await;
+        assert_eq!(self.referee.day_ends(), Vec::<String>::new());
+        self.assert_rules_kept();
+    }
+
+    /// Controllers that hold blocks now, by the records.
+    pub fn holders(&self) -> BTreeMap<String, String> {
+        let held = |key: String| Some((key.clone(), self.state.value(&key)?["host"].as_str()?.to_string()));
+        self.state.keys("dc/b/").into_iter().filter_map(held).collect()
+    }
+
+    /// The number of a controller by its name.
+    pub fn number(&self, name: &str) -> usize {
+        (0..NODES).find(|n| host(*n) == name).unwrap()
     }
 
     /// Waits for a job's stage as any running node tells it.
--- a/crates/dapplecroft-controller/tests/stories/main.rs
+++ b/crates/dapplecroft-controller/tests/stories/main.rs
@@ -3,7 +3,9 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod blocks;
 mod cluster;
+mod ends;
 mod failures;
 mod late;
 mod users;
--- a/crates/dapplecroft-fakes/src/referee.rs
+++ b/crates/dapplecroft-fakes/src/referee.rs
@@ -14,8 +14,18 @@
     attempts: HashMap<(String, u64), String>,
     starts: HashMap<String, usize>,
     broken: Vec<String>,
+    accepted: BTreeMap<String, Instant>,
+    answered: HashMap<String, Instant>,
+    began: HashMap<String, Instant>,
+    calm: Option<Instant>,
 }
 
+/// A job about which no question is answered for so long after the end of all
+/// troubles is forgotten.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(75);
+/// Even the largest jobs must begin within this time.
+const BEGIN_WITHIN: Duration = Duration::from_secs(240);
+
 /// Watches over the rules.
 #[derive(Default)]
 pub struct Referee {
@@ -50,6 +60,56 @@
         self.inner.lock().unwrap().cancelled.insert(id.into(), Instant::now());
     }
 
+    /// A user was told that a job is accepted.
+    pub fn accepted(&self, id: &str) {
+        self.inner.lock().unwrap().accepted.entry(id.into()).or_insert_with(Instant::now);
+    }
+
+    /// A user's question about a job was answered with what is known of it.
+    pub fn answered(&self, id: &str) {
+        self.inner.lock().unwrap().answered.insert(id.into(), Instant::now());
+    }
+
+    /// All troubles are over.
+    pub fn calm(&self) {
+        self.inner.lock().unwrap().calm = Some(Instant::now());
+    }
+
+    /// What is checked at the end of a day: jobs about which nothing was
+    /// answered since the troubles ended, jobs that began too late or not at
+    /// all, and teams of which less than half was begun.
+    pub fn day_ends(&self) -> Vec<String> {
+        let inner = self.inner.lock().unwrap();
+        let mut broken = Vec::new();
+        let mut teams: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for (id, at) in &inner.accepted {
+            if let Some(calm) = inner.calm
+                && calm.elapsed() > FORGOTTEN_AFTER
+                && inner.answered.get(id).is_none_or(|at| *at < calm)
+            {
+                broken.push(format!("forgotten: {id}"));
+            }
+            if inner.cancelled.contains_key(id) {
+                continue;
+            }
+            let began = inner.began.get(id);
+            if began.map_or(at.elapsed(), |b| *b - *at) > BEGIN_WITHIN {
+                broken.push(format!("late: {id} did not begin in time"));
+            }
+            if let Some((team, _)) = inner.jobs.get(id) {
+                let served = teams.entry(team).or_default();
+                served.0 += usize::from(began.is_some());
+                served.1 += 1;
+            }
+        }
+        for (team, (begun, all)) in teams {
+            if begun * 2 < all {
+                broken.push(format!("unserved: {begun} of {all} jobs of {team}"));
+            }
+        }
+        broken
+    }
+
     /// Something went wrong.
     pub fn note(&self, what: String) {
         self.inner.lock().unwrap().broken.push(what);
@@ -72,6 +132,7 @@
             inner.broken.push(format!("attempt {attempt} of {task} ran on {other} and on {machine}"));
         }
         inner.on.insert(task.into(), machine.into());
+        inner.began.entry(job_of(task).into()).or_insert_with(Instant::now);
         *inner.starts.entry(task.into()).or_default() += 1;
         let team = inner.jobs.get(job_of(task)).map(|(team, _)| team.clone());
         if let Some(team) = team {
@@ -120,3 +181,49 @@
         broken
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::time::sleep;
+
+    #[tokio::test(start_paused = true)]
+    async fn a_broken_end_of_a_day_is_caught() {
+        let referee = Referee::new(Duration::from_secs(47));
+        for id in ["run-1", "run-2", "run-3", "run-4"] {
+            referee.job(id, if id == "run-1" { "a" } else { "b" }, 1.0);
+            referee.accepted(id);
+        }
+        referee.started("run-1/0", 1, "m");
+        referee.cancelled("run-2");
+        referee.calm();
+        assert_eq!(referee.day_ends(), ["unserved: 0 of 2 jobs of b"]);
+        sleep(Duration::from_secs(76)).await;
+        referee.answered("run-1");
+        referee.answered("run-3");
+        assert_eq!(referee.day_ends()[..2], ["forgotten: run-2", "forgotten: run-4"]);
+        sleep(Duration::from_secs(200)).await;
+        referee.started("run-4/0", 1, "m");
+        let ends = referee.day_ends();
+        assert!(ends.contains(&"late: run-3 did not begin in time".to_string()), "{ends:?}");
+        assert!(ends.contains(&"late: run-4 did not begin in time".to_string()), "{ends:?}");
+        assert!(!ends.iter().any(|e| e.contains("run-1")), "{ends:?}");
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_broken_rule_is_caught() {
+        let referee = Referee::new(Duration::from_secs(10));
+        referee.limit("a", 2.0);
+        referee.job("run-1", "a", 2.0);
+        referee.started("run-1/0", 1, "m");
+        assert!(referee.broken().is_empty());
+        referee.started("run-1/0", 2, "n");
+        referee.started("run-1/1", 1, "n");
+        referee.cancelled("run-1");
+        sleep(Duration::from_secs(11)).await;
+        let broken = referee.broken().join("; ");
+        for rule in ["ran_twice", "quota", "ran_cancelled"] {
+            assert!(broken.contains(rule), "{rule}: {broken}");
+        }
+    }
+}
--- a/crates/dapplecroft-fakes/src/worker.rs
+++ b/crates/dapplecroft-fakes/src/worker.rs
@@ -125,6 +125,16 @@
         self.forget_tasks(&mut inner);
     }
 
+    /// The machine stops and is back at once: its tasks are gone, and its worker
+    /// begins another session.
+    pub fn blink(&self) {
+        let mut inner = self.inner.lock().unwrap();
+        self.forget_tasks(&mut inner);
+        inner.session += 1;
+        inner.renewed = Instant::now();
+        self.changed.notify_one();
+    }
+
     /// The cloud takes it in so many seconds.
     pub fn notice(&self, seconds: f64) {
         self.inner.lock().unwrap().notice = Some(seconds);
