--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -508,13 +508,12 @@
                 continue;
             }
             match self.machines.get_mut(listed.id.as_str()).filter(|m| m.group.is_some()) {
-                Some(machine) => {
-                    if listed.state == "failed" && machine.fate != Fate::Lost {
-                        tracing::info!(machine = &*machine.id, "a machine stopped on its own");
-                        machine.fate = Fate::Lost;
-                        self.wakes.fleet = true;
-                    }
+                Some(machine) if listed.state == "failed" && machine.fate != Fate::Lost => {
+                    tracing::info!(machine = &*machine.id, "a machine stopped on its own");
+                    machine.fate = Fate::Lost;
+                    self.wakes.fleet = true;
                 }
+                Some(_) => {}
                 None if settled => {
                     let id: Arc<str> = listed.id.as_str().into();
                     let mut machine = Machine::new(&id, 0, now);
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -282,12 +282,11 @@
     fn unbook(&mut self, task: &TaskId, placed: &Placed, amounts: Amounts) {
         if let Some(machine) = self.machines.get_mut(&placed.machine)
             && machine.tasks.remove(task)
+            && !placed.freed
         {
-            if !placed.freed {
-                let before = machine.room().cpus;
-                machine.booked -= amounts;
-                reindex(&mut self.roomy, machine, before);
-            }
+            let before = machine.room().cpus;
+            machine.booked -= amounts;
+            reindex(&mut self.roomy, machine, before);
         }
         self.wakes.place = true;
     }
