--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -75,7 +75,20 @@
 
     /// Takes over what a watch brought, up to a revision.
     pub fn follow(&mut self, followed: Followed, now: Instant) {
-        for change in followed.log {
+        // Changes come in no order, and perhaps only the last one of each key:
+        // what others refer to goes first, so that nothing refers to a job or a
+        // machine that is not known yet.
+        let mut log = followed.log;
+        log.sort_by_key(|l| {
+            let key = l.set.as_deref().or(l.drop.as_deref()).unwrap_or_default();
+            let class = match Key::parse(key) {
+                Some(Key::Job(_)) => 0,
+                Some(Key::Group(_)) => 1,
+                _ => 2,
+            };
+            (class, l.version)
+        });
+        for change in log {
             match (change.set, change.drop) {
                 (Some(key), _) => self.apply(&key, change.data, change.version, now),
                 (None, Some(key)) => self.apply(&key, None, change.version, now),
@@ -201,6 +214,7 @@
                 let Some(job) = OpenJob::new(record, version, now) else { return };
                 self.open.insert(id.clone());
                 self.jobs.insert(id.clone(), Job::Open(Box::new(job)));
+                self.reapply_loads(&id, now);
             }
         }
         self.wakes.place = true;
@@ -216,6 +230,29 @@
         self.finish_if_over(&id);
     }
 
+    /// A block's record can be known before a job that runs there, when it was
+    /// read by itself or keys were read page by page: what it says of the job is
+    /// taken over once the job is known. Else its tasks would seem to wait, and
+    /// be started a second time.
+    fn reapply_loads(&mut self, id: &Arc<str>, now: Instant) {
+        let known: Vec<u32> = self
+            .loads
+            .iter()
+            .filter(|(_, l)| {
+                let r = &l.record;
+                r.jobs.iter().any(|j| **j == **id)
+                    || r.done.contains_key(&**id)
+                    || r.tries.contains_key(&**id)
+            })
+            .map(|(block, _)| *block)
+            .collect();
+        for block in known {
+            if let Some(load) = self.loads.remove(&block) {
+                self.apply_load(block, load.record, load.size, load.version, now);
+            }
+        }
+    }
+
     /// Asks for the end of all tasks of a withdrawn job.
     fn stop_withdrawn(&mut self, id: &Arc<str>) {
         let Some(Job::Open(job)) = self.jobs.get_mut(id) else { return };
--- a/crates/dapplecroft-controller/tests/stories/blocks.rs
+++ b/crates/dapplecroft-controller/tests/stories/blocks.rs
@@ -169,3 +169,33 @@
     assert!((0..2).all(|i| c.referee.starts(&format!("run-1/{i}")) == 1));
     c.assert_day_ends(&["run-1"]).await;
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_controller_whose_copy_fell_behind_starts_nothing_a_second_time() {
+    for behind in [2.0, 20.0] {
+        let c = spread(6, &[("run-1", 80), ("run-2", 80)]).await;
+        c.submit("run-1", "free", 6, 8.0, "normal").await;
+        c.until_running(6).await;
+        let leader = c.leader().unwrap();
+        let last = (0..3).find(|n| *n != leader).unwrap();
+        // It hears of no change for a while, reads single keys all the same, and
+        // then comes to hold everything.
+        c.net.rule(Rule::all(&host(last), STATE, Action::Drop).path("/follow"));
+        c.submit("run-2", "free", 6, 8.0, "normal").await;
+        c.until("more runs", || c.referee.on().len() >= 8).await;
+        for _ in 0..4 {
+            c.show(last, "run-1").await;
+            pause(behind / 4.0).await;
+        }
+        c.net.clear_rules();
+        (0..3).filter(|n| *n != last).for_each(|n| c.kill_node(n));
+        c.until("it leads", || c.leader() == Some(last)).await;
+        c.until_stage("run-1", "done").await;
+        c.until_stage("run-2", "done").await;
+        (0..3).filter(|n| *n != last).for_each(|n| c.start_node(n));
+        for id in ["run-1", "run-2"] {
+            assert!((0..6).all(|i| c.referee.starts(&format!("{id}/{i}")) == 1), "{id}");
+        }
+        c.assert_day_ends(&["run-1", "run-2"]).await;
+    }
+}
--- a/crates/dapplecroft-fakes/src/state.rs
+++ b/crates/dapplecroft-fakes/src/state.rs
@@ -154,10 +154,15 @@
             {
                 let mut inner = self.inner.lock().unwrap();
                 inner.expire();
-                let log: Vec<Value> = inner
-                    .log
-                    .iter()
-                    .filter(|(stamp, key, _)| *stamp > from && key.starts_with(&prefix))
+                // In no useful order, and of each key only the last change: the
+                // protocol promises no more.
+                let mut last: BTreeMap<&String, &(u64, String, Option<Value>)> = BTreeMap::new();
+                for change in inner.log.iter().filter(|(s, key, _)| *s > from && key.starts_with(&prefix)) {
+                    last.insert(&change.1, change);
+                }
+                let log: Vec<Value> = last
+                    .into_values()
+                    .rev()
                     .map(|(stamp, key, data)| match data {
                         Some(data) => json!({"set": key, "data": data, "stamp": stamp}),
                         None => json!({"drop": key, "stamp": stamp}),
