--- a/crates/dapplecroft-controller/src/core/admission.rs
+++ b/crates/dapplecroft-controller/src/core/admission.rs
@@ -35,6 +35,8 @@
 struct Fit {
     block: u32,
     total: i64,
+    /// On machines that are in use already.
+    tight: i64,
     with_image: i64,
     used: bool,
 }
@@ -128,10 +130,14 @@
     }
 
     fn fit(&self, id: &Arc<str>, job: &OpenJob, block: u32, round: &Round, now: Instant) -> Fit {
-        let mut fit = Fit { block, total: 0, with_image: 0, used: job.record.admitted.contains_key(&block) };
+        let mut fit =
+            Fit { block, total: 0, tight: 0, with_image: 0, used: job.record.admitted.contains_key(&block) };
         for (_, c) in self.candidates(id, job, block, &round.reserved, now) {
             let n = job.need.amounts.times_in(&(c.capacity - c.booked)).max(1);
             fit.total += n;
+            if c.booked != Amounts::default() {
+                fit.tight += n;
+            }
             if c.image != HasImage::No {
                 fit.with_image += n;
             }
@@ -178,8 +184,12 @@
             fits.retain(|f| used.is_none_or(|b| b == f.block));
         }
         fits.sort_by_key(|f| {
+            // Best fit among blocks as within them: small tasks fill what is in
+            // use, and leave whole machines to large ones.
             let all = f.total >= left;
-            std::cmp::Reverse((all, f.with_image.min(left), f.used, f.total, std::cmp::Reverse(f.block)))
+            let total = if all { std::cmp::Reverse(f.total) } else { std::cmp::Reverse(-f.total) };
+            let image = f.with_image.min(left);
+            std::cmp::Reverse((all, image, f.tight.min(left), f.used, total, std::cmp::Reverse(f.block)))
         });
         if constrained {
             fits.truncate(1);
--- a/crates/dapplecroft-net/src/tcp.rs
+++ b/crates/dapplecroft-net/src/tcp.rs
@@ -26,8 +26,10 @@
         connector.set_connect_timeout(Some(Duration::from_secs(2)));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_secs(30))
-            .pool_max_idle_per_host(8)
+            // Connections to a thousand workers are reused while they are busy and
+            // closed soon after: sockets are limited too.
+            .pool_idle_timeout(Duration::from_secs(8))
+            .pool_max_idle_per_host(2)
             .build(connector);
         TcpTransport { client }
     }
