--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -25,6 +25,10 @@
 /// While changes are scarce, a job or block without urgent work has its turn
 /// at most so often.
 const TURN: Duration = Duration::from_millis(1500);
+/// Each admission outdates what holders are about to commit of the same job, so
+/// while changes are scarce a job has its turn less often than a block.
+const JOB_TURN: Duration = Duration::from_secs(3);
+const URGENT_TURN: Duration = Duration::from_millis(700);
 /// Nothing more is placed in a block whose record has so much of a value's
 /// limit: what is left is for the ends of what is placed.
 const SPARE: f64 = 0.7;
@@ -113,8 +117,15 @@
     fn next_dirty(&mut self, relaxed: bool, now: Instant) -> Option<Subject> {
         for _ in 0..self.dirty.len() {
             let subject = self.dirty.pop()?;
-            let recent =
-                self.sent_at.get(&subject).is_some_and(|at| now.saturating_duration_since(*at) < TURN);
+            let turn = match &subject {
+                Subject::Block(_) => TURN,
+                Subject::Job(id) => match self.open_job(id) {
+                    Some(job) if job.spec.priority < Rank::Normal => URGENT_TURN,
+                    _ => JOB_TURN,
+                },
+            };
+            let sent = self.sent_at.get(&subject);
+            let recent = sent.is_some_and(|at| now.saturating_duration_since(*at) < turn);
             if relaxed || !recent {
                 return Some(subject);
             }
@@ -135,7 +146,8 @@
         let subject = Subject::Job(id.clone());
         if over {
             self.first.push(subject);
-        } else if job.spec.priority < Rank::Normal {
+        } else if job.spec.priority < Rank::Normal && !self.sent_at.contains_key(&subject) {
+            // The first admission of an urgent job goes at once.
             self.soon.push(subject);
         } else {
             self.dirty.push(subject);
--- a/crates/dapplecroft-state/src/committer.rs
+++ b/crates/dapplecroft-state/src/committer.rs
@@ -133,9 +133,9 @@
             // spoils it for more.
             let most = ((client.write_rate() * GROUP_SECONDS) as usize).clamp(2, self.max_changes);
             if self.first_waits() {
-                // At once, unless what went at once has used up the next half
-                // second's changes already.
-                client.wait_for_writes(-client.write_rate() * 0.5).await;
+                // At once, unless what went at once has used up what comes next
+                // already: the service's bursts are shared.
+                client.wait_for_writes(-client.write_rate() * 0.2).await;
             } else {
                 // A part of the burst is kept for what users wait for.
                 let reserve = client.write_rate() * RESERVE;
