--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -92,7 +92,7 @@
         let mut pause = Duration::from_millis(100);
         loop {
             let result = if unit.urgent {
-                self.committer.commit_first(unit.unit.clone()).await
+                self.committer.commit_soon(unit.unit.clone()).await
             } else {
                 self.committer.commit(unit.unit.clone()).await
             };
--- a/crates/dapplecroft-state/src/committer.rs
+++ b/crates/dapplecroft-state/src/committer.rs
@@ -45,7 +45,18 @@
     unit: Unit,
     bytes: usize,
     reply: oneshot::Sender<UnitResult>,
-    first: bool,
+    rank: Rank,
+}
+
+/// What goes before what.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    /// A user waits for it: at once.
+    User,
+    /// Urgent work waits for it.
+    Soon,
+    /// All else.
+    Later,
 }
 
 /// Collects units and commits them in groups.
@@ -89,15 +100,20 @@
 
     /// Queues a unit and waits for its result.
     pub async fn commit(&self, unit: Unit) -> UnitResult {
-        self.enqueue(unit, false).await
+        self.enqueue(unit, Rank::Later).await
     }
 
     /// The same, ahead of what is queued already: a user waits for it.
     pub async fn commit_first(&self, unit: Unit) -> UnitResult {
-        self.enqueue(unit, true).await
+        self.enqueue(unit, Rank::User).await
+    }
+
+    /// The same, behind what users wait for: urgent work waits for it.
+    pub async fn commit_soon(&self, unit: Unit) -> UnitResult {
+        self.enqueue(unit, Rank::Soon).await
     }
 
-    async fn enqueue(&self, unit: Unit, first: bool) -> UnitResult {
+    async fn enqueue(&self, unit: Unit, rank: Rank) -> UnitResult {
         let (reply, result) = oneshot::channel();
         let bytes =
             serde_json::to_vec(&unit.changes).map_or(MAX_BYTES, |v| v.len()) + 80 * unit.conditions.len();
@@ -106,15 +122,11 @@
             if queue.len() >= self.bound {
                 return UnitResult::Refused("too many changes waiting".into());
             }
-            let waiting = Waiting { unit, bytes, reply, first };
-            if first {
+            if rank < Rank::Later {
                 self.urgent.notify_one();
-                // Behind those that came first in the same way.
-                let at = queue.iter().position(|w| !w.first).unwrap_or(queue.len());
-                queue.insert(at, waiting);
-            } else {
-                queue.push_back(waiting);
             }
+            let at = queue.iter().position(|w| w.rank > rank).unwrap_or(queue.len());
+            queue.insert(at, Waiting { unit, bytes, reply, rank });
         }
         self.wake.notify_one();
         result.await.unwrap_or_else(|_| UnitResult::Unknown("committer ended".into()))
@@ -132,17 +144,24 @@
             // since the service's bursts are shared, and one outdated condition
             // spoils it for more.
             let most = ((client.write_rate() * GROUP_SECONDS) as usize).clamp(2, self.max_changes);
-            if self.first_waits() {
-                // At once, unless what went at once has used up what comes next
+            let rate = client.write_rate();
+            match self.next_rank() {
+                Some(Rank::User) => {}
+                // Soon, unless what went soon has used up what comes next
                 // already: the service's bursts are shared.
-                client.wait_for_writes(-client.write_rate() * 0.2).await;
-            } else {
-                // A part of the burst is kept for what users wait for.
-                let reserve = client.write_rate() * RESERVE;
-                let wait = client.wait_for_writes(most.min(self.waiting()) as f64 + reserve);
-                tokio::select! {
-                    () = wait => {}
-                    () = self.urgent.notified() => {}
+                Some(Rank::Soon) => {
+                    tokio::select! {
+                        () = client.wait_for_writes(1.0 - rate * 0.2) => {}
+                        () = self.urgent.notified() => continue,
+                    }
+                }
+                // A part of the burst is kept for what can't wait.
+                _ => {
+                    let changes = most.min(self.waiting()) as f64 + rate * RESERVE;
+                    tokio::select! {
+                        () = client.wait_for_writes(changes) => {}
+                        () = self.urgent.notified() => continue,
+                    }
                 }
             }
             let group = self.next_group(most);
@@ -232,8 +251,8 @@
             let full = changes + unit.changes.len() > most
                 || conditions.len() + fresh > 4 * self.max_changes
                 || bytes + next.bytes > MAX_BYTES;
-            // What users wait for goes at once, and so without the others.
-            let other = group.first().is_some_and(|w| w.first != next.first);
+            // What can't wait goes without the others.
+            let other = group.first().is_some_and(|w| w.rank != next.rank);
             // A unit that is too large by itself still goes, and is refused there.
             if !group.is_empty() && (clash || full || other) {
                 break;
@@ -248,8 +267,8 @@
         group
     }
 
-    fn first_waits(&self) -> bool {
-        self.lock().front().is_some_and(|w| w.first)
+    fn next_rank(&self) -> Option<Rank> {
+        self.lock().front().map(|w| w.rank)
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, VecDeque<Waiting>> {
