--- a/crates/dapplecroft-controller/src/core/displace.rs
+++ b/crates/dapplecroft-controller/src/core/displace.rs
@@ -4,7 +4,7 @@
 use super::placing::Unplaced;
 use crate::jobs::{Stop, TaskId};
 use crate::machines::Machine;
-use dapplecroft_sched::{Claim, Resident, Slot, pick_victims};
+use dapplecroft_sched::{Amounts, Claim, Need, Resident, Slot, pick_victims};
 use dapplecroft_wire::users::Rank;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -14,6 +14,68 @@
 /// Pause between two looks for work to displace, which go over all machines.
 const EVERY: Duration = Duration::from_millis(250);
 
+/// A machine with work that may have to give way.
+struct Host {
+    block: u32,
+    slot: Slot,
+    tasks: Vec<TaskId>,
+    residents: Vec<Resident>,
+}
+
+impl Host {
+    /// How many tasks fit once all that is leaving has left.
+    fn fits(&self, need: &Need) -> i64 {
+        let leaving: Amounts = self.residents.iter().filter(|r| r.leaving).map(|r| r.need.amounts).sum();
+        need.amounts.times_in(&(self.slot.room() + leaving))
+    }
+}
+
+/// Chooses what is stopped on some machines so that up to `wanted` tasks fit,
+/// where the least run time is lost. What is leaving anyway counts as room that
+/// will be there. Returns the tasks and the time that is lost.
+fn make_room(
+    hosts: &mut [&mut Host],
+    need: &Need,
+    claim: Claim,
+    mut wanted: i64,
+    most: usize,
+    limit: Duration,
+) -> (Vec<TaskId>, Duration) {
+    for host in hosts.iter_mut() {
+        let allowed = need.allows(&host.slot.machine_type, &host.slot.zone, host.slot.spot);
+        if wanted > 0 && host.slot.open && allowed {
+            let n = host.fits(need).min(wanted);
+            host.slot.booked += need.amounts.times(n);
+            wanted -= n;
+        }
+    }
+    let mut choices: Vec<(Duration, usize, Vec<usize>)> = hosts
+        .iter()
+        .enumerate()
+        .filter_map(|(index, host)| {
+            let found = pick_victims(&host.slot, &host.residents, need, claim, limit)?;
+            Some((found.lost, index, found.residents))
+        })
+        .collect();
+    choices.sort();
+    let (mut stopped, mut lost) = (Vec::new(), Duration::ZERO);
+    for (ran, index, victims) in choices {
+        if wanted <= 0 || stopped.len() + victims.len() > most {
+            break;
+        }
+        let host = &mut hosts[index];
+        for victim in victims {
+            host.residents[victim].leaving = true;
+            stopped.push(host.tasks[victim].clone());
+        }
+        lost += ran;
+        let n = host.fits(need).clamp(1, wanted);
+        host.slot.booked += need.amounts.times(n);
+        wanted -= n;
+    }
+    (stopped, lost)
+}
+
 impl Core {
     /// A machine of an own block as drains and displacement see it.
     pub(super) fn slot(&self, machine: &Machine, now: Instant) -> Slot {
@@ -61,7 +123,7 @@
     /// time is lost. What is leaving anyway counts as room that will be there.
     pub(super) fn displace(&mut self, unplaced: &[Unplaced], now: Instant) {
         let urgent = |u: &Unplaced| {
-            u.here > 0 && self.open_job(&u.job).is_some_and(|j| j.spec.priority < Rank::Normal)
+            !u.here.is_empty() && self.open_job(&u.job).is_some_and(|j| j.spec.priority < Rank::Normal)
         };
         // Among ordinary work a guarantee is served first, but stops nothing:
         // work that is stopped for it waits in its turn, and so on.
@@ -74,7 +136,7 @@
         let ranks = claimants.iter().filter_map(|u| self.open_job(&u.job)).map(|j| j.rank());
         let best = ranks.min().unwrap_or(0);
         let guaranteed = self.guaranteed();
-        let mut hosts: Vec<(Slot, Vec<TaskId>, Vec<Resident>)> = self
+        let mut hosts: Vec<Host> = self
             .machines
             .values()
             .filter(|m| {
@@ -83,7 +145,7 @@
             })
             .map(|m| {
                 let (tasks, residents) = self.residents(m, 0, Duration::MAX, now).into_iter().unzip();
-                (self.slot(m, now), tasks, residents)
+                Host { block: m.block, slot: self.slot(m, now), tasks, residents }
             })
             .collect();
         let mut left = MAX_DISPLACED;
@@ -91,50 +153,24 @@
             let Some(job) = self.open_job(&unplaced.job) else { continue };
             let within = guaranteed.get(&unplaced.job).copied().unwrap_or(false);
             let claim = Claim { rank: job.rank(), within_guarantee: within };
-            let need = unplaced.need.clone();
-            let mut wanted = unplaced.here;
-            for (slot, _, residents) in &mut hosts {
-                if wanted == 0 || !slot.open || !need.allows(&slot.machine_type, &slot.zone, slot.spot) {
-                    continue;
-                }
-                let leaving: dapplecroft_sched::Amounts =
-                    residents.iter().filter(|r| r.leaving).map(|r| r.need.amounts).sum();
-                let n = need.amounts.times_in(&(slot.room() + leaving)).min(wanted);
-                slot.booked += need.amounts.times(n);
-                wanted -= n;
-            }
-            let mut choices: Vec<(Duration, usize, Vec<usize>)> = hosts
-                .iter()
-                .enumerate()
-                .filter_map(|(index, (slot, _, residents))| {
-                    let found = pick_victims(slot, residents, &need, claim, self.options.preempt_limit)?;
-                    Some((found.lost, index, found.residents))
-                })
-                .collect();
-            choices.sort();
-            let (mut stopped, mut lost) = (0, Duration::ZERO);
-            for (ran, index, victims) in choices {
-                if wanted <= 0 || left < victims.len() {
-                    break;
-                }
-                left -= victims.len();
-                stopped += victims.len();
+            let mut stopped: Vec<TaskId> = Vec::new();
+            let mut lost = Duration::ZERO;
+            for (&block, &wanted) in &unplaced.here {
+                // What waits in a block can use room in that block alone: room
+                // made elsewhere would be filled by others and made again.
+                let mut own: Vec<&mut Host> =
+                    hosts.iter_mut().filter(|h| block.is_none_or(|b| b == h.block)).collect();
+                let (tasks, ran) =
+                    make_room(&mut own, &unplaced.need, claim, wanted, left, self.options.preempt_limit);
+                left -= tasks.len();
                 lost += ran;
-                let (slot, tasks, residents) = &mut hosts[index];
-                for victim in victims {
-                    residents[victim].leaving = true;
-                    let task = tasks[victim].clone();
-                    tracing::debug!(task = %task, for_job = %unplaced.job, "a task gives way");
-                    self.stop(&task, Stop::Preempted);
-                }
-                let leaving: dapplecroft_sched::Amounts =
-                    residents.iter().filter(|r| r.leaving).map(|r| r.need.amounts).sum();
-                let n = need.amounts.times_in(&(slot.room() + leaving)).clamp(1, wanted);
-                slot.booked += need.amounts.times(n);
-                wanted -= n;
+                stopped.extend(tasks);
+            }
+            if !stopped.is_empty() {
+                tracing::info!(for_job = %unplaced.job, ?claim, tasks = stopped.len(), ?lost, "tasks give way");
             }
-            if stopped > 0 {
-                tracing::info!(for_job = %unplaced.job, ?claim, tasks = stopped, ?lost, "tasks give way");
+            for task in stopped {
+                self.stop(&task, Stop::Preempted);
             }
         }
     }
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -87,8 +87,9 @@
 pub(super) struct Unplaced {
     pub job: Arc<str>,
     pub need: Arc<Need>,
-    /// Tasks that wait in own blocks, or that any of them could take.
-    pub here: i64,
+    /// Tasks that wait in each own block, and (`None`) those that the leader may
+    /// still admit to any.
+    pub here: BTreeMap<Option<u32>, i64>,
     /// All tasks for which machines are wanted.
     pub count: i64,
 }
@@ -215,12 +216,12 @@
     fn left_unplaced(&self, id: &Arc<str>, round: &mut Round, leads: bool) -> Option<Unplaced> {
         let job = self.open_job(id)?;
         let need = &job.need;
-        let mut here = 0;
+        let mut here = BTreeMap::new();
         let mut waiting = 0;
         for (block, ranges) in &job.waiting {
             waiting += i64::from(ranges.len());
             if self.is_holder(*block) {
-                here += i64::from(ranges.len());
+                here.insert(Some(*block), i64::from(ranges.len()));
             }
         }
         if leads && !job.unadmitted.is_empty() {
@@ -230,7 +231,9 @@
                 .or_insert_with(|| self.teams.get(&job.spec.team).cloned().unwrap_or_default());
             let room = book.headroom(&need.amounts).min(i64::from(job.unadmitted.len()));
             book.used += need.amounts.times(room);
-            here += room;
+            if room > 0 {
+                here.insert(None, room);
+            }
             waiting += room;
         }
         (waiting > 0).then(|| Unplaced { job: id.clone(), need: need.clone(), here, count: waiting })
--- a/crates/dapplecroft-controller/tests/stories/blocks.rs
+++ b/crates/dapplecroft-controller/tests/stories/blocks.rs
@@ -199,3 +199,17 @@
         c.assert_day_ends(&["run-1", "run-2"]).await;
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn urgent_work_makes_room_only_where_it_waits() {
+    let c = spread(4, &[("run-1", 60), ("run-2", 5)]).await;
+    c.submit("run-1", "free", 16, 4.0, "normal").await;
+    c.until_running(16).await;
+    c.submit("run-2", "free", 2, 4.0, "urgent").await;
+    c.until("the urgent tasks run", || (0..2).all(|i| c.referee.starts(&format!("run-2/{i}")) == 1)).await;
+    c.until_stage("run-2", "done").await;
+    c.until_stage("run-1", "done").await;
+    let starts: usize = (0..16).map(|i| c.referee.starts(&format!("run-1/{i}"))).sum();
+    assert!(starts <= 16 + 3, "{} tasks gave way to two", starts - 16);
+    c.assert_day_ends(&["run-1", "run-2"]).await;
+}
