--- a/crates/dapplecroft-controller/src/core/displace.rs
+++ b/crates/dapplecroft-controller/src/core/displace.rs
@@ -111,7 +111,7 @@
                 ran,
                 movable: placed.committed && ran <= oldest && job.spec.kind == "sweep",
                 leaving: placed.stop.is_some(),
-                rank: job.rank(),
+                rank: self.standing(job),
                 beyond_guarantee: self.teams.get(&job.spec.team).is_some_and(|b| b.beyond_guarantee()),
             };
             residents.push((task.clone(), resident));
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -210,6 +210,8 @@
     fleet: fleet::FleetState,
     draining: drain::DrainState,
     displaced: Option<Instant>,
+    /// The time of day at the last round, in seconds since 1970.
+    wall: f64,
 }
 
 impl Core {
@@ -257,6 +259,7 @@
             fleet: fleet::FleetState::default(),
             draining: drain::DrainState::default(),
             displaced: None,
+            wall: 0.0,
         }
     }
 
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -16,7 +16,7 @@
 /// Users want even the largest jobs to begin within minutes: one of which
 /// nothing has run for so long goes before all others of its rank, and ranks
 /// one higher.
-const BEGIN_WITHIN: f64 = 150.0;
+const BEGIN_WITHIN: f64 = 120.0;
 /// The same for what has begun and does not get on.
 const END_WITHIN: f64 = 400.0;
 
@@ -130,6 +130,22 @@
         job.record.at + within.unwrap_or(job.spec.estimate_s * 4.0)
     }
 
+    /// Whether a job has waited so long that it goes before others: least left
+    /// first, and missed deadlines last, must starve nobody.
+    fn is_starved(&self, job: &OpenJob) -> bool {
+        let begun = !job.placed.is_empty() || !job.done.is_empty();
+        self.wall - job.record.at > if begun { END_WITHIN } else { BEGIN_WITHIN }
+    }
+
+    /// A job's rank, one higher once it has waited very long. What is placed of
+    /// it keeps that rank while it is young, or the job would be undone again
+    /// and again by more urgent ones.
+    pub(super) fn standing(&self, job: &OpenJob) -> u8 {
+        let old = self.wall - job.record.at > BEGIN_WITHIN;
+        let raised = self.is_starved(job) || (old && job.done.is_empty());
+        if raised { job.rank().saturating_sub(1) } else { job.rank() }
+    }
+
     /// Waiting jobs in the order in which they are served.
     fn serving_order(&self, wall: f64, now: Instant) -> Vec<(Order, Arc<str>)> {
         let guaranteed = self.guaranteed();
@@ -144,11 +160,8 @@
                 let within = guaranteed.get(id).copied().unwrap_or(false);
                 let due = self.due(job);
                 let at = (job.record.at.max(0.0) * 1000.0) as u64;
-                // Least left first, and missed deadlines last, must starve nobody.
-                let age = wall - job.record.at;
-                let begun = !job.placed.is_empty() || !job.done.is_empty();
-                let starved = age > if begun { END_WITHIN } else { BEGIN_WITHIN };
-                let rank = if starved { job.rank().saturating_sub(1) } else { job.rank() };
+                let rank = self.standing(job);
+                let starved = rank < job.rank() || self.is_starved(job);
                 let key = (
                     rank,
                     if starved { at } else { u64::MAX },
@@ -173,6 +186,7 @@
         if !self.loaded || !self.has_role() || !self.in_contact(now) || self.catalog.is_none() {
             return;
         }
+        self.wall = wall;
         let leads = self.leads(now);
         let order = self.serving_order(wall, now);
         let mut round = Round { left: MAX_PER_ROUND, scarce, ..Round::default() };
