--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -220,18 +220,21 @@
         }
     }
 
-    /// What work waits that may start as far as its team's limit goes: machines
-    /// that it fits on are not returned, however long they have been idle.
-    fn wanted_needs(&self) -> Vec<Arc<Need>> {
-        let mut needs: Vec<Arc<Need>> = Vec::new();
+    /// What work waits that may start as far as its team's limit goes, and how
+    /// much: as many idle machines as it needs are not returned, however long
+    /// they have been idle.
+    fn wanted_needs(&self) -> Vec<(Arc<Need>, i64)> {
+        let mut needs: Vec<(Arc<Need>, i64)> = Vec::new();
         for job in self.waiting.iter().filter_map(|id| self.open_job(id)) {
-            let admitted = !job.waiting.is_empty();
-            let may = admitted || self.teams.get(&job.spec.team).is_some_and(|b| b.admits(&job.need.amounts));
-            let covered = needs.iter().any(|n| {
-                n.types.is_none() && n.zone.is_none() && n.spot && n.amounts.fits(&job.need.amounts)
-            });
-            if may && job.failures == 0 && !covered {
-                needs.push(job.need.clone());
+            let headroom = self.teams.get(&job.spec.team).map_or(0, |b| b.headroom(&job.need.amounts));
+            let admitted: i64 = job.waiting.values().map(|r| i64::from(r.len())).sum();
+            let count = admitted + i64::from(job.unadmitted.len()).min(headroom);
+            if count == 0 || job.failures > 0 {
+                continue;
+            }
+            match needs.iter_mut().find(|(n, _)| **n == *job.need) {
+                Some((_, total)) => *total += count,
+                None => needs.push((job.need.clone(), count)),
             }
         }
         needs
@@ -246,7 +249,7 @@
         let boots: BTreeMap<String, Duration> =
             hulls.map(|h| (h.name.clone(), self.boot_time(&h.name))).collect();
         let idle = self.idle_times();
-        let wanted = self.wanted_needs();
+        let mut wanted = self.wanted_needs();
         let holdings = &self.role.holdings;
         let own = |m: &Machine| m.group.is_some() && holdings.contains_key(&m.block);
         let mut probes = self.machines.values().filter(|m| own(m) && m.probing).count();
@@ -298,11 +301,18 @@
                 let kind = (machine.machine_type.clone(), machine.spot);
                 let usual = idle.get(&kind).copied().unwrap_or(report);
                 let keep = self.options.idle_return.unwrap_or(usual).max(MIN_PAID.saturating_sub(age));
-                let unused = machine.idle_since.is_some_and(|at| now.saturating_duration_since(at) > keep)
-                    && !wanted.iter().any(|need| {
-                        need.allows(&machine.machine_type, &machine.zone, machine.spot)
-                            && need.amounts.fits(&machine.capacity)
+                let idle = machine.idle_since.is_some_and(|at| now.saturating_duration_since(at) > keep);
+                let wanted = idle
+                    && wanted.iter_mut().any(|(need, count)| {
+                        let fits = *count > 0
+                            && need.allows(&machine.machine_type, &machine.zone, machine.spot)
+                            && need.amounts.fits(&machine.capacity);
+                        if fits {
+                            *count -= need.amounts.times_in(&machine.capacity);
+                        }
+                        fits
                     });
+                let unused = idle && !wanted;
                 if machine.failed_jobs.len() >= 2 {
                     tracing::info!(machine = &*machine.id, "tasks of several jobs failed: quarantined");
                     machine.fate = Fate::Returning;
