--- a/crates/dapplecroft-controller/src/core/blocks.rs
+++ b/crates/dapplecroft-controller/src/core/blocks.rs
@@ -60,7 +60,7 @@
         let numbers = self.block_numbers();
         let sizes = self.block_sizes();
         let size = |block: &u32| sizes.get(block).copied().unwrap_or(0);
-        let own_work = (numbers.len() - 1) * self.options.block_machines / 8;
+        let own_work = (numbers.len() - 1) * self.block_machines() / 8;
         let mut load: BTreeMap<&str, usize> = self
             .live
             .iter()
@@ -94,7 +94,7 @@
             let Some((host, _)) = least(&load) else { break };
             if let Some(n) = load.get_mut(host.as_str()) {
                 // An empty block will not stay empty.
-                *n += size(&block).max(self.options.block_machines / 2);
+                *n += size(&block).max(self.block_machines() / 2);
             }
             leases.extend(self.lease(block, &host, leadership));
         }
--- a/crates/dapplecroft-controller/src/core/groups.rs
+++ b/crates/dapplecroft-controller/src/core/groups.rs
@@ -15,6 +15,10 @@
 /// machines that come up together must not use up the writes.
 const ADDRESSES_EVERY: Duration = Duration::from_millis(500);
 
+/// Machines whose tasks take about a kilobyte of their block's record, with a
+/// wide margin for many small tasks.
+const MACHINES_PER_KB: f64 = 6.0;
+
 /// A change of a group's record.
 #[derive(Debug, Clone)]
 pub struct GroupUnit {
@@ -45,10 +49,17 @@
         self.machines.get(machine).is_some_and(|m| m.group.is_some()) || self.is_expected(machine)
     }
 
+    /// How many machines a block has at most: what runs on them is one record,
+    /// and the fewer records, the fewer changes.
+    pub(super) fn block_machines(&self) -> usize {
+        let by_value = (self.settings.params.state.value_kb * MACHINES_PER_KB) as usize;
+        self.options.block_machines.unwrap_or(by_value.clamp(10, 200))
+    }
+
     /// The block that further machines join, and how many: the fullest with
     /// room left, else a new one.
     pub(super) fn block_with_room(&self, taken: &BTreeMap<u32, usize>) -> (u32, usize) {
-        let most = self.options.block_machines;
+        let most = self.block_machines();
         let sizes = self.block_sizes();
         let size = |b: u32| sizes.get(&b).copied().unwrap_or(0) + taken.get(&b).copied().unwrap_or(0);
         let mut numbers = self.block_numbers();
--- a/crates/dapplecroft-controller/src/options.rs
+++ b/crates/dapplecroft-controller/src/options.rs
@@ -25,9 +25,9 @@
     /// Whether to rent the cheapest machines that do, or those that are up
     /// soonest. The platform's settings do not say which the users want.
     pub thrift: bool,
-    /// Machines of a block: as many as one rental brings, so that what is rented
-    /// together is held together.
-    pub block_machines: usize,
+    /// Machines of a block; unset: as many as the limit of a value lets one
+    /// record describe.
+    pub block_machines: Option<usize>,
     /// Users' requests worked on at a time; more get 503.
     pub max_requests: usize,
 }
@@ -44,7 +44,7 @@
             preempt_limit: Duration::from_secs(60),
             idle_return: None,
             thrift: true,
-            block_machines: 50,
+            block_machines: None,
             max_requests: 256,
         }
     }
--- a/crates/dapplecroft-controller/tests/stories/blocks.rs
+++ b/crates/dapplecroft-controller/tests/stories/blocks.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 async fn spread(capacity: usize, runs: &'static [(&'static str, u64)]) -> Cluster {
-    let options = Options { block_machines: 1, ..Options::default() };
+    let options = Options { block_machines: Some(1), ..Options::default() };
     let adjust = |t: &mut dapplecroft_fakes::WorkerTiming| {
         for (job, seconds) in runs {
             t.runs.insert(job.to_string(), Duration::from_secs(*seconds));
--- a/crates/dapplecroft/src/options.rs
+++ b/crates/dapplecroft/src/options.rs
@@ -67,7 +67,7 @@
         options.max_requests = most as usize;
     }
     if let Some(machines) = number("block_machines", 1.0, 1000.0)? {
-        options.block_machines = machines as usize;
+        options.block_machines = Some(machines as usize);
     }
     let flag = |field: &str, default: bool| match message.get_field_by_name(field).as_deref() {
         Some(Value::Bool(value)) if message.has_field_by_name(field) => *value,
