--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -16,7 +16,7 @@
 /// Users want even the largest jobs to begin within minutes: one of which
 /// nothing has run for so long goes before all others of its rank, and ranks
 /// one higher.
-const BEGIN_WITHIN: f64 = 100.0;
+const BEGIN_WITHIN: f64 = 150.0;
 /// The same for what has begun and does not get on.
 const END_WITHIN: f64 = 400.0;
 
--- a/crates/dapplecroft-controller/src/loops.rs
+++ b/crates/dapplecroft-controller/src/loops.rs
@@ -17,6 +17,7 @@
         let mut loops = JoinSet::new();
         loops.spawn(self.clone().follow_loop());
         loops.spawn(self.clone().beat_loop());
+        loops.spawn(self.clone().role_loop());
         loops.spawn(self.clone().question_loop());
         loops.spawn(self.clone().place_loop());
         loops.spawn(self.clone().flush_loop());
--- a/crates/dapplecroft-controller/src/loops/election.rs
+++ b/crates/dapplecroft-controller/src/loops/election.rs
@@ -18,25 +18,35 @@
 }
 
 impl Node {
-    /// Renews this node's lease, stands for election when there is no leader,
-    /// and as leader confirms again and again that it still is.
+    /// Renews this node's lease and has its role confirmed, again and again.
+    /// Nothing else is done in this loop: on a busy node every wait takes long,
+    /// and the lease must not end of that.
     pub(crate) async fn beat_loop(self: Arc<Self>) {
+        let beat = self.options.node_lease / 4;
+        while !self.with(|core| core.loaded) {
+            let _ = timeout(beat / 4, self.wake_beat.notified()).await;
+        }
+        loop {
+            let begun = now();
+            let ok = self.touch().await;
+            let pause = if ok { beat } else { beat / 4 };
+            let left = pause.saturating_sub(now().saturating_duration_since(begun));
+            let _ = timeout(left.max(beat / 20), self.wake_beat.notified()).await;
+        }
+    }
+
+    /// Stands for election when there is no leader, takes up what was won or
+    /// leased, and as leader leases blocks.
+    pub(crate) async fn role_loop(self: Arc<Self>) {
         let mut random = StdRng::seed_from_u64(self.seed);
         let beat = self.options.node_lease / 4;
-        let mut touch_at = now();
         loop {
-            let loaded = self.with(|core| core.loaded);
-            if loaded {
-                if now() >= touch_at {
-                    let ok = self.touch().await;
-                    touch_at = now() + if ok { beat } else { beat / 4 };
-                }
+            if self.with(|core| core.loaded) {
                 self.stand(&mut random).await;
                 self.take_up().await;
                 self.lease_blocks().await;
             }
-            let wait = touch_at.saturating_duration_since(now()).max(Duration::from_millis(5));
-            let _ = timeout(wait, self.wake_role.notified()).await;
+            let _ = timeout(beat, self.wake_role.notified()).await;
         }
     }
 
@@ -46,11 +56,11 @@
         let Some(lease) = self.with(|core| core.role.lease) else {
             return self.enter().await;
         };
-        match self.state.touch(lease).await {
+        let (touched, ()) = tokio::join!(self.state.touch(lease), self.confirm());
+        match touched {
             Outcome::Done(true) => {
                 *lock(&self.touched) = Some(sent);
                 self.set_rates();
-                self.confirm().await;
                 true
             }
             Outcome::Done(false) => {
@@ -93,6 +103,7 @@
                     core.role.lease = Some(lease);
                     core.apply_changes(&transaction.changes, revision, now());
                 });
+                self.wake_role.notify_one();
                 true
             }
             _ => {
