--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -371,6 +371,12 @@
                         p.committed = true;
                         p.since = now;
                     }
+                    // The same may have been proposed here, in an earlier session
+                    // of the worker, and committed by another holder since: a
+                    // session older than the record's would later pass for proof
+                    // that the task is gone.
+                    p.session = session;
+                    p.block = block;
                     p.stop = stop.or(p.stop);
                 }
                 other => {
@@ -579,6 +585,32 @@
         assert_known(&two);
     }
 
+    #[test]
+    fn a_placement_has_the_session_of_its_record_whoever_proposed_the_same() {
+        let now = Instant::now();
+        let mut core = core();
+        core.apply("dc/j/run-1", Some(job()), 5, now);
+        let Some(Job::Open(open)) = core.jobs.get_mut("run-1") else { panic!("not open") };
+        open.placed.insert(
+            1,
+            Placed {
+                attempt: 1,
+                machine: "i-1".into(),
+                block: 0,
+                session: 1,
+                committed: false,
+                since: now,
+                running: None,
+                sent: 0,
+                stop: None,
+                freed: false,
+            },
+        );
+        core.apply("dc/p/0", Some(json!({"j": ["run-1"], "m": {"i-1": [[0, 1, 1, 1, 2]]}})), 9, now);
+        let placed = &core.open_job("run-1").unwrap().placed[&1];
+        assert_eq!((placed.committed, placed.session), (true, 2));
+    }
+
     #[test]
     fn a_withdrawn_job_stays_counted_until_all_that_came_before_is_known() {
         let now = Instant::now();
