--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -460,7 +460,12 @@
     pub fn rented(&mut self, request: &RentRequest, machines: &[String], now: Instant) {
         let Some((_, block)) = self.fleet.renting.remove(&request.request) else { return };
         let kind = (request.machine_type.clone(), request.zone.clone(), request.spot);
-        if machines.len() < request.count as usize {
+        let pausing = self.fleet.refused.get(&kind).is_some_and(|(until, _)| *until > now);
+        if machines.len() < request.count as usize && pausing {
+            // Asked before an earlier refusal was known, it says nothing new: the
+            // pause must not double with each of several requests at a time.
+            tracing::debug!(machine_type = kind.0, spot = kind.2, got = machines.len(), "refused as well");
+        } else if machines.len() < request.count as usize {
             let (_, times) = self.fleet.refused.get(&kind).copied().unwrap_or((now, 0));
             let pause = (REFUSED_PAUSE * 2u32.pow(times.min(4))).min(LONGEST_PAUSE);
             tracing::info!(
