--- a/crates/dapplecroft-controller/src/core/admission.rs
+++ b/crates/dapplecroft-controller/src/core/admission.rs
@@ -156,7 +156,8 @@
         }
         let Some(book) = self.teams.get(&job.spec.team) else { return };
         let headroom = book.headroom(&job.need.amounts);
-        let mut left = i64::from(job.unadmitted.len()).min(headroom);
+        let most = i64::try_from(round.most).unwrap_or(i64::MAX);
+        let mut left = i64::from(job.unadmitted.len()).min(headroom).min(most);
         if left <= 0 {
             return;
         }
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -17,7 +17,9 @@
 /// nothing has run for so long goes before all others of its rank, and ranks
 /// one higher.
 const BEGIN_WITHIN: f64 = 150.0;
-/// The same for what has begun and does not get on.
+/// So many tasks make a beginning.
+const FEW: usize = 2;
+/// The same, but for the rank, for what has begun and does not get on.
 const END_WITHIN: f64 = 400.0;
 
 /// In which order jobs are served: rank, then those that have waited very long
@@ -66,6 +68,8 @@
     pub ahead_full: Option<i64>,
     /// Whether changes of records are scarce.
     pub scarce: bool,
+    /// Most tasks of the job whose turn it is.
+    pub most: usize,
     /// What teams will use once the work found no place for has one.
     pub books: HashMap<String, TeamBook>,
 }
@@ -142,8 +146,10 @@
     /// and again by more urgent ones.
     pub(super) fn standing(&self, job: &OpenJob) -> u8 {
         let old = self.wall - job.record.at > BEGIN_WITHIN;
-        let raised = self.is_starved(job) || (old && job.done.is_empty());
-        if raised { job.rank().saturating_sub(1) } else { job.rank() }
+        // A few tasks are enough to begin: a large job must not take the place
+        // of all urgent work.
+        let few = job.placed.len() <= FEW && job.done.is_empty();
+        if old && few { job.rank().saturating_sub(1) } else { job.rank() }
     }
 
     /// Waiting jobs in the order in which they are served.
@@ -197,6 +203,7 @@
         let mut unplaced = Vec::new();
         for (_, id) in &order {
             let Some(job) = self.open_job(id) else { continue };
+            round.most = if self.standing(job) < job.rank() { FEW } else { usize::MAX };
             let here: Vec<u32> = job.waiting.keys().copied().filter(|b| self.is_holder(*b)).collect();
             for block in here {
                 self.place_in(id, block, &mut round, now);
@@ -322,8 +329,11 @@
     /// Places what waits in a block of this holder.
     pub(super) fn place_in(&mut self, id: &Arc<str>, block: u32, round: &mut Round, now: Instant) {
         let Some(job) = self.open_job(id).filter(|j| j.is_open()) else { return };
-        let waiting: Vec<u32> =
-            job.waiting.get(&block).map(|r| r.iter().take(round.left).collect()).unwrap_or_default();
+        let waiting: Vec<u32> = job
+            .waiting
+            .get(&block)
+            .map(|r| r.iter().take(round.left.min(round.most)).collect())
+            .unwrap_or_default();
         // One that is still somewhere, against all records, waits.
         let mut waiting: Vec<u32> = waiting
             .into_iter()
