Read connections in rounds, keep to the limit of sockets, lease parts to who has just come up

Now a few connections are read at a time and all else that is ready goes before the next few; reports are refused unread until the records are known, and read only as far as needed to send them away; sockets are counted, and shed before the limit; one that has just come up is leased no more than its part for two lease times.

Ruled out: memory (75 MB at most), requests to the state service (none refused).

--- a/crates/dapplecroft-cloud/src/lib.rs
+++ b/crates/dapplecroft-cloud/src/lib.rs
@@ -39,8 +39,14 @@
 
     async fn call(&self, method: Method, path: String, body: Vec<u8>) -> Outcome<Response> {
         self.budget.acquire(1.0).await;
-        let request =
-            Request { address: self.address.clone(), method, path, body: body.into(), timeout: TIMEOUT };
+        let request = Request {
+            address: self.address.clone(),
+            method,
+            path,
+            body: body.into(),
+            timeout: TIMEOUT,
+            one_of_many: false,
+        };
         match self.transport.send(request).await {
             Ok(response) => Outcome::Done(response),
             Err(failure) => failure.into(),
--- a/crates/dapplecroft-controller/src/core/blocks.rs
+++ b/crates/dapplecroft-controller/src/core/blocks.rs
@@ -53,7 +53,7 @@
     /// go to the least loaded controllers, and one block at a time moves from
     /// the most to the least loaded if that evens them out. The leader's own
     /// work grows with the number of blocks, so it holds fewer of many.
-    pub fn wanted_leases(&self) -> Vec<Lease> {
+    pub fn wanted_leases(&self, now: Instant) -> Vec<Lease> {
         let Some(leadership) = self.role.leadership.filter(|l| *l <= self.followed) else {
             return Vec::new();
         };
@@ -83,23 +83,34 @@
             }
         }
         let leader = self.live.iter().find(|(_, l)| l.identity == self.identity).map(|(h, _)| h.as_str());
-        let least = |load: &BTreeMap<&str, usize>| {
+        // One that has just come up gets no more than its part: after a restart
+        // of all, the first would else take everything, drown in its workers'
+        // reports and lose its lease again; the others come up just after it.
+        let part = numbers.len().div_ceil(self.settings.params.nodes.max(1) as usize);
+        let settled = |host: &str| {
+            let since = self.live_since.get(host);
+            since.is_some_and(|at| now.saturating_duration_since(*at) >= self.options.node_lease * 2)
+        };
+        let mut counts: BTreeMap<&str, usize> = held.iter().map(|(host, b)| (*host, b.len())).collect();
+        let least = |load: &BTreeMap<&str, usize>, counts: &BTreeMap<&str, usize>| {
             load.iter()
+                .filter(|(host, _)| settled(host) || counts.get(*host).is_none_or(|n| *n < part))
                 .min_by_key(|(host, n)| (**n, Some(**host) != leader))
                 .map(|(host, n)| (host.to_string(), *n))
         };
         let mut leases = Vec::new();
         vacant.sort_by_key(|b| std::cmp::Reverse(size(b)));
         for block in vacant {
-            let Some((host, _)) = least(&load) else { break };
-            if let Some(n) = load.get_mut(host.as_str()) {
+            let Some((host, _)) = least(&load, &counts) else { break };
+            if let Some((name, n)) = load.iter_mut().find(|(name, _)| **name == host) {
+                *counts.entry(name).or_default() += 1;
                 // An empty block will not stay empty.
                 *n += size(&block).max(self.block_machines() / 2);
             }
             leases.extend(self.lease(block, &host, leadership));
         }
         if leases.is_empty()
-            && let Some((to, low)) = least(&load)
+            && let Some((to, low)) = least(&load, &counts)
             && let Some((from, high)) = load.iter().max_by_key(|(_, n)| **n)
         {
             // It helps only if the lesser load stays the lesser one.
--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -4,7 +4,7 @@
 use super::{Core, Group, Load, Subject, reindex};
 use crate::jobs::{Job, OpenJob, Placed, Stop, TaskId};
 use crate::machines::Machine;
-use crate::records::{GroupRecord, JobRecord, Key, LoadRecord, Span};
+use crate::records::{GroupRecord, JobRecord, Key, LiveRecord, LoadRecord, Span};
 use dapplecroft_wire::cloud::Catalog;
 use dapplecroft_wire::state::{Followed, Item};
 use dapplecroft_wire::users::Rank;
@@ -155,10 +155,19 @@
                 }
             }
             Some(Key::Live(host)) => {
-                match value.and_then(|v| read(key, Some(v))) {
-                    Some(record) => self.live.insert(host.to_string(), record),
-                    None => self.live.remove(host),
-                };
+                match value.and_then(|v| read::<LiveRecord>(key, Some(v))) {
+                    Some(record) => {
+                        let same = self.live.get(host).is_some_and(|l| l.identity == record.identity);
+                        if !same {
+                            self.live_since.insert(host.to_string(), now);
+                        }
+                        self.live.insert(host.to_string(), record);
+                    }
+                    None => {
+                        self.live.remove(host);
+                        self.live_since.remove(host);
+                    }
+                }
                 self.wakes.role = true;
             }
             Some(Key::Catalog) => {
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -193,6 +193,8 @@
     pub blocks: BTreeMap<u32, (BlockRecord, u64)>,
     /// Live controllers.
     pub live: BTreeMap<String, LiveRecord>,
+    /// Since when this process knows each of them.
+    pub live_since: BTreeMap<String, Instant>,
     /// Machine types.
     pub catalog: Option<Catalog>,
     /// The drains under way, by block.
@@ -249,6 +251,7 @@
             leader: None,
             blocks: BTreeMap::new(),
             live: BTreeMap::new(),
+            live_since: BTreeMap::new(),
             catalog: None,
             drains: BTreeMap::new(),
             role: Role::default(),
--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -3,7 +3,7 @@
 use super::Core;
 use crate::jobs::{Exit, Job, Stop, TaskId};
 use crate::machines::Machine;
-use dapplecroft_wire::workers::{DirectOrders, ExitReason, Order, Orders, Report, TaskState};
+use dapplecroft_wire::workers::{DirectOrders, ExitReason, Order, Orders, Report, ReportHead, TaskState};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -23,40 +23,57 @@
 }
 
 impl Core {
-    /// Answers a report.
-    pub fn hello(&mut self, report: &Report, now: Instant) -> HelloAnswer {
-        let id = report.machine.as_str();
+    /// The answer to a report that this process does not take over: another one
+    /// is the right one, or nobody is known to be. `None`: it must be read.
+    pub fn not_taken(&self, head: &ReportHead, now: Instant) -> Option<HelloAnswer> {
+        let id = head.machine.as_str();
         if !self.loaded || self.gone.contains_key(id) {
             // If its release was answered, this is a late copy of a message.
-            return HelloAnswer::Unavailable;
+            return Some(HelloAnswer::Unavailable);
         }
         let Some(machine) = self.machines.get(id).filter(|m| m.group.is_some()) else {
             // A record names every machine before it is used, so one without is
             // for the leader to take in.
-            if self.leads(now) && !self.is_expected(id) {
-                self.found(report, now);
-            }
-            return match self.leader_host() {
-                Some(host) => HelloAnswer::Redirect(Some(host.to_string())),
-                None => HelloAnswer::Unavailable,
-            };
+            let unexpected = self.leads(now) && !self.is_expected(id);
+            return (!unexpected).then(|| self.not_here());
         };
         let block = machine.block;
         let Some(holding) = self.holding(block, now) else {
             // A holder that has lost the state service stops answering, so that
             // its workers' leases end before a cancellation's limit.
-            return match self.holder_host(block) {
+            return Some(match self.holder_host(block) {
                 _ if self.is_holder(block) => HelloAnswer::Unavailable,
                 Some(host) => HelloAnswer::Redirect(Some(host.to_string())),
                 None => HelloAnswer::Unavailable,
-            };
+            });
         };
-        let token = machine.token(holding.epoch);
-        if report.token > token {
+        if head.token > machine.token(holding.epoch) {
             // Someone with a newer lease commands this worker.
             tracing::info!(machine = id, "a worker knows a newer token than this holder's");
-            return HelloAnswer::Redirect(None);
+            return Some(HelloAnswer::Redirect(None));
         }
+        None
+    }
+
+    fn not_here(&self) -> HelloAnswer {
+        match self.leader_host() {
+            Some(host) => HelloAnswer::Redirect(Some(host.to_string())),
+            None => HelloAnswer::Unavailable,
+        }
+    }
+
+    /// Answers a report.
+    pub fn hello(&mut self, report: &Report, now: Instant) -> HelloAnswer {
+        let head = ReportHead { machine: report.machine.clone(), token: report.token };
+        if let Some(answer) = self.not_taken(&head, now) {
+            return answer;
+        }
+        let id = report.machine.as_str();
+        let block = self.machines.get(id).filter(|m| m.group.is_some()).map(|m| m.block);
+        let Some(holding) = block.and_then(|b| self.holding(b, now)) else {
+            self.found(report, now);
+            return self.not_here();
+        };
         self.take_report(report, now);
         let Some(machine) = self.machines.get(id) else { return HelloAnswer::Unavailable };
         let token = machine.token(holding.epoch);
--- a/crates/dapplecroft-controller/src/loops/election.rs
+++ b/crates/dapplecroft-controller/src/loops/election.rs
@@ -184,7 +184,7 @@
     /// As leader, leases blocks that nobody holds, and evens out the others.
     async fn lease_blocks(&self) {
         let (leases, transaction) = self.with(|core| {
-            let leases = core.wanted_leases();
+            let leases = core.wanted_leases(now());
             let transaction = core.lease_transaction(&leases);
             (leases, transaction)
         });
--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -7,6 +7,7 @@
 use dapplecroft_wire::workers::{DirectOrders, Report};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
 /// Shortest pause between rounds.
@@ -19,6 +20,8 @@
 const LAZY_TICK: Duration = Duration::from_millis(100);
 /// How often a line says how things stand.
 const SUMMARY: Duration = Duration::from_secs(30);
+/// Commands that are sent before other work has its turn.
+const COMMANDS_AT_A_TIME: usize = 12;
 /// How long a worker has to answer direct commands.
 const COMMAND_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -150,7 +153,11 @@
     pub(crate) async fn command_loop(self: Arc<Self>) {
         loop {
             let ids = std::mem::take(&mut *lock(&self.to_command));
-            for id in ids {
+            for (n, id) in ids.into_iter().enumerate() {
+                if n % COMMANDS_AT_A_TIME == COMMANDS_AT_A_TIME - 1 {
+                    // Hundreds at once must not go before renewals of leases.
+                    yield_now().await;
+                }
                 if let Some((address, orders)) = self.with(|core| core.next_command(&id, now())) {
                     let node = self.clone();
                     self.spawn(async move { node.command(&id, address, orders).await });
@@ -168,6 +175,7 @@
             path: "/do".into(),
             body: body.into(),
             timeout: COMMAND_TIMEOUT,
+            one_of_many: true,
         };
         let answer = self.transport.send(request).await;
         let report: Option<Report> = match &answer {
--- a/crates/dapplecroft-controller/src/node.rs
+++ b/crates/dapplecroft-controller/src/node.rs
@@ -9,7 +9,7 @@
 use dapplecroft_state::{Committer, StateClient};
 use dapplecroft_wire::settings::Settings;
 use dapplecroft_wire::users::Problem;
-use dapplecroft_wire::workers::{Redirect, Report};
+use dapplecroft_wire::workers::{Redirect, Report, ReportHead};
 use http::Method;
 use serde::Serialize;
 use std::collections::BTreeSet;
@@ -227,6 +227,13 @@
         }
     }
 
+    /// The answer to a request that can't be taken whatever it says, so that
+    /// nothing of it need be read: after a restart all workers report at once,
+    /// and again every few seconds until the records are known.
+    pub fn refuse_unread(&self, path: &str) -> Option<Reply> {
+        (path == "/hello" && !self.with(|core| core.loaded)).then(|| Reply::busy("not ready", 1))
+    }
+
     /// A node that has not read the records yet is of no use while others are,
     /// but in an outage that all share it stays in service: coming back costs
     /// users longer than the refusals that they get meanwhile.
@@ -236,6 +243,12 @@
     }
 
     fn hello(&self, body: &[u8]) -> Reply {
+        // Most of a report is its tasks: they are read only if they are needed.
+        if let Ok(head) = serde_json::from_slice::<ReportHead>(body)
+            && let Some(answer) = self.with(|core| core.not_taken(&head, now()))
+        {
+            return answer_hello(answer);
+        }
         let report: Report = match serde_json::from_slice(body) {
             Ok(report) => report,
             Err(error) => {
@@ -243,11 +256,15 @@
                 return Reply::problem(400, "unreadable report");
             }
         };
-        match self.with(|core| core.hello(&report, now())) {
-            HelloAnswer::Orders(orders) => Reply::json(200, &orders),
-            HelloAnswer::Redirect(report_to) => Reply::json(421, &Redirect { report_to }),
-            HelloAnswer::Unavailable => Reply::busy("holder unknown", 1),
-        }
+        answer_hello(self.with(|core| core.hello(&report, now())))
+    }
+}
+
+fn answer_hello(answer: HelloAnswer) -> Reply {
+    match answer {
+        HelloAnswer::Orders(orders) => Reply::json(200, &orders),
+        HelloAnswer::Redirect(report_to) => Reply::json(421, &Redirect { report_to }),
+        HelloAnswer::Unavailable => Reply::busy("holder unknown", 1),
     }
 }
 
--- a/crates/dapplecroft-controller/src/peers.rs
+++ b/crates/dapplecroft-controller/src/peers.rs
@@ -157,6 +157,7 @@
             path: "/status".into(),
             body: Default::default(),
             timeout: PROBE_TIMEOUT,
+            one_of_many: true,
         };
         let response = self.transport.send(request).await.ok().filter(|r| r.status == 200)?;
         serde_json::from_slice(&response.body).ok()
--- a/crates/dapplecroft-controller/tests/stories/main.rs
+++ b/crates/dapplecroft-controller/tests/stories/main.rs
@@ -8,4 +8,5 @@
 mod ends;
 mod failures;
 mod late;
+mod restarts;
 mod users;
--- a/crates/dapplecroft-fakes/src/worker.rs
+++ b/crates/dapplecroft-fakes/src/worker.rs
@@ -212,6 +212,7 @@
                 path: "/hello".into(),
                 body: serde_json::to_vec(&report).unwrap().into(),
                 timeout: Duration::from_secs(4),
+                one_of_many: false,
             };
             let answer = self.port.send(request).await;
             self.check_lease();
--- a/crates/dapplecroft-net/src/lib.rs
+++ b/crates/dapplecroft-net/src/lib.rs
@@ -2,9 +2,11 @@
 //! in-memory network, its real form over TCP, and rate budgets.
 
 mod budget;
+mod sockets;
 mod tcp;
 
 pub use budget::Budget;
+pub use sockets::{Socket, Sockets};
 pub use tcp::TcpTransport;
 
 use async_trait::async_trait;
@@ -24,6 +26,9 @@
     pub body: Bytes,
     /// How long to wait for the whole answer.
     pub timeout: Duration,
+    /// Whether it goes to one of very many hosts, to which connections are kept
+    /// only while sockets are plenty.
+    pub one_of_many: bool,
 }
 
 /// An answer.
--- a/crates/dapplecroft-net/src/tcp.rs
+++ b/crates/dapplecroft-net/src/tcp.rs
@@ -1,12 +1,14 @@
 //! The real transport: HTTP/1.1 with kept-alive connections.
 
-use crate::{Failure, Request, Response, Transport};
+use crate::{Failure, Request, Response, Sockets, Transport};
 use async_trait::async_trait;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Semaphore;
 
 /// The largest answer that is read. Watches have no limit of their own, but a
 /// process with little memory has.
@@ -16,11 +18,15 @@
 #[derive(Debug, Clone)]
 pub struct TcpTransport {
     client: Client<HttpConnector, Full<Bytes>>,
+    sockets: Arc<Sockets>,
+    /// Requests to workers that may be on their way.
+    many: Arc<Semaphore>,
 }
 
 impl TcpTransport {
-    /// A transport with its own pool of connections.
-    pub fn new() -> Self {
+    /// A transport with its own pool of connections, in a process with these
+    /// sockets.
+    pub fn new(sockets: Arc<Sockets>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_secs(2)));
@@ -29,15 +35,10 @@
             // Connections to a thousand workers are reused while they are busy and
             // closed soon after: sockets are limited too.
             .pool_idle_timeout(Duration::from_secs(8))
-            .pool_max_idle_per_host(2)
+            .pool_max_idle_per_host(1)
             .build(connector);
-        TcpTransport { client }
-    }
-}
-
-impl Default for TcpTransport {
-    fn default() -> Self {
-        Self::new()
+        let many = Arc::new(Semaphore::new(sockets.most_out()));
+        TcpTransport { client, sockets, many }
     }
 }
 
@@ -45,12 +46,22 @@
 impl Transport for TcpTransport {
     async fn send(&self, request: Request) -> Result<Response, Failure> {
         let not_sent = |e: String| Failure::NotSent(e);
+        let slot = match request.one_of_many {
+            true => Some(tokio::time::timeout(request.timeout, self.many.acquire()).await),
+            false => None,
+        };
+        if slot.as_ref().is_some_and(Result::is_err) {
+            return Err(not_sent("no socket left".into()));
+        }
         let mut builder = http::Request::builder()
             .method(request.method)
             .uri(format!("http://{}{}", request.address, request.path));
         if !request.body.is_empty() {
             builder = builder.header(http::header::CONTENT_TYPE, "application/json");
         }
+        if request.one_of_many && self.sockets.scarce_out() {
+            builder = builder.header(http::header::CONNECTION, "close");
+        }
         let built = builder.body(Full::new(request.body)).map_err(|e| not_sent(e.to_string()))?;
         let exchange = async {
             let answer = self.client.request(built).await.map_err(|e| {
--- a/crates/dapplecroft-state/src/lib.rs
+++ b/crates/dapplecroft-state/src/lib.rs
@@ -82,7 +82,14 @@
         body: Vec<u8>,
         timeout: Duration,
     ) -> Outcome<Response> {
-        let request = Request { address: self.address.clone(), method, path, body: body.into(), timeout };
+        let request = Request {
+            address: self.address.clone(),
+            method,
+            path,
+            body: body.into(),
+            timeout,
+            one_of_many: false,
+        };
         match self.transport.send(request).await {
             // 429 and 503 say that the request was not executed.
             Ok(r) if r.status == 429 || r.status == 503 => Outcome::Refused(format!("status {}", r.status)),
--- a/crates/dapplecroft-wire/src/settings.rs
+++ b/crates/dapplecroft-wire/src/settings.rs
@@ -62,6 +62,9 @@
     pub state: StateParams,
     /// The cloud's limits.
     pub cloud: CloudParams,
+    /// What this process may use.
+    #[serde(default)]
+    pub quota: Quota,
 }
 
 /// A team with its guarantee and its limit; 0 means none.
@@ -120,6 +123,21 @@
     pub txn_ops: usize,
 }
 
+/// What this process may use of its machine.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct Quota {
+    /// Sockets that it may have open.
+    pub max_connections: usize,
+}
+
+impl Default for Quota {
+    fn default() -> Self {
+        // What processes usually may have where nothing is said.
+        Quota { max_connections: 1024 }
+    }
+}
+
 /// The cloud's limits.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct CloudParams {
--- a/crates/dapplecroft-wire/src/workers.rs
+++ b/crates/dapplecroft-wire/src/workers.rs
@@ -37,6 +37,18 @@
     pub tasks: Vec<TaskReport>,
 }
 
+/// What of a report says whether it can be taken: its other fields are passed
+/// over unread.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct ReportHead {
+    /// The machine's name.
+    #[serde(rename = "holding")]
+    pub machine: String,
+    /// The highest fencing token that the worker has seen.
+    #[serde(rename = "warrant", default)]
+    pub token: u64,
+}
+
 /// One task in a report.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TaskReport {
--- a/crates/dapplecroft/src/http.rs
+++ b/crates/dapplecroft/src/http.rs
@@ -1,14 +1,19 @@
 //! Users, workers and health checks over HTTP.
 
+use crate::front::{FrontAcceptor, Gate};
 use dapplecroft_controller::{Node, Reply};
+use dapplecroft_net::Sockets;
 use dapplecroft_wire::MAX_BODY;
 use poem::http::{StatusCode, header};
-use poem::listener::TcpListener;
+use poem::listener::{Listener, TcpListener};
 use poem::{Endpoint, Request, Response, Server};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-struct Front(Arc<Node>);
+struct Front {
+    node: Arc<Node>,
+    sockets: Arc<Sockets>,
+}
 
 impl Endpoint for Front {
     type Output = Response;
@@ -16,16 +21,24 @@
     async fn call(&self, mut request: Request) -> poem::Result<Response> {
         let method = request.method().clone();
         let path = request.uri().path().to_string();
-        let reply = match request.take_body().into_bytes_limit(MAX_BODY).await {
-            Ok(body) => self.0.handle(&method, &path, body).await,
-            Err(_) => Reply {
-                status: 400,
-                body: b"{\"error\":\"body over 64 KiB or cut short\"}".to_vec(),
-                retry_after: None,
+        let reply = match self.node.refuse_unread(&path) {
+            Some(reply) => reply,
+            None => match request.take_body().into_bytes_limit(MAX_BODY).await {
+                Ok(body) => self.node.handle(&method, &path, body).await,
+                Err(_) => Reply {
+                    status: 400,
+                    body: b"{\"error\":\"body over 64 KiB or cut short\"}".to_vec(),
+                    retry_after: None,
+                },
             },
         };
+        // A worker that is sent away leaves this node, so its socket is free.
+        let leaves = path == "/hello" && reply.status != 200;
         let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let mut builder = Response::builder().status(status).header(header::CONTENT_TYPE, "application/json");
+        if leaves || self.sockets.scarce() {
+            builder = builder.header(header::CONNECTION, "close");
+        }
         if let Some(seconds) = reply.retry_after {
             builder = builder.header(header::RETRY_AFTER, seconds);
         }
@@ -34,6 +47,13 @@
 }
 
 /// Serves until the process ends.
-pub async fn serve(node: Arc<Node>, address: SocketAddr) -> std::io::Result<()> {
-    Server::new(TcpListener::bind(address)).run(Front(node)).await
+pub async fn serve(node: Arc<Node>, sockets: Arc<Sockets>, address: SocketAddr) -> std::io::Result<()> {
+    let gate = Arc::new(Gate::default());
+    let listener = TcpListener::bind(address).into_acceptor().await?;
+    let acceptor = FrontAcceptor::new(listener, gate.clone(), sockets.clone());
+    let front = Front { node, sockets };
+    tokio::select! {
+        result = Server::new_with_acceptor(acceptor).run(front) => result,
+        () = gate.run() => Ok(()),
+    }
 }
--- a/crates/dapplecroft/src/main.rs
+++ b/crates/dapplecroft/src/main.rs
@@ -1,12 +1,13 @@
 //! The controller program.
 
+mod front;
 mod grpc;
 mod http;
 mod options;
 
 use clap::{Parser, Subcommand};
 use dapplecroft_controller::{Node, Options, Parts, PeerService};
-use dapplecroft_net::TcpTransport;
+use dapplecroft_net::{Sockets, TcpTransport};
 use dapplecroft_wire::settings::Settings;
 use rand::RngExt;
 use std::path::{Path, PathBuf};
@@ -43,6 +44,12 @@
     },
 }
 
+/// What a process has at least; fewer sockets would be of no use.
+const MIN_SOCKETS: usize = 64;
+/// After so many steps the program looks at what has arrived and at its timers,
+/// so that what can't wait is not behind all that is ready.
+const STEPS: u32 = 24;
+
 /// Why the program can't start, or ended.
 #[derive(Debug, thiserror::Error)]
 enum Failure {
@@ -89,18 +96,19 @@
     let settings =
         Settings::parse(&read(config)?).map_err(|e| Failure::Settings(config.display().to_string(), e))?;
     let options = options.map(load_options).transpose()?.unwrap_or_default();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().event_interval(STEPS).build()?;
     runtime.block_on(serve(settings, options))
 }
 
 async fn serve(settings: Settings, options: Options) -> Result<(), Failure> {
     let mut random = rand::rng();
     let (listen, back) = (settings.listen, settings.peer_listen);
+    let sockets = Sockets::new(settings.params.quota.max_connections.max(MIN_SOCKETS));
     let node = Node::new(Parts {
         settings: Arc::new(settings),
         options,
         identity: format!("{:016x}", random.random::<u64>()),
-        transport: Arc::new(TcpTransport::new()),
+        transport: Arc::new(TcpTransport::new(sockets.clone())),
         peers: Arc::new(grpc::GrpcPeers::default()),
         wall: SystemTime::now,
         seed: random.random(),
@@ -108,7 +116,7 @@
     tracing::info!(%listen, %back, "starting");
     // One process does one thing at a time, and all of it ends together.
     tokio::select! {
-        result = http::serve(node.clone(), listen) => result?,
+        result = http::serve(node.clone(), sockets, listen) => result?,
         result = grpc::serve(PeerService(node.clone()), back) => result?,
         () = node.run() => {}
     }
