--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -28,26 +28,21 @@
 /// first.
 type Order = (u8, u64, bool, Pressing, Reverse<i64>, u64, u64, u64);
 
-/// How pressing a job is. Best fit is decreasing within each of these.
+/// Whether a job can still be in time. Best fit is decreasing within each of
+/// these. Those that have time are not put behind those that must start soon:
+/// in overload all would wait until they are nearly late, and then be late
+/// together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Pressing {
-    /// It must start soon to be in time.
-    Now,
-    /// There is time.
-    Later,
+    /// It can still be in time.
+    InTime,
     /// It is too late already: others can still be in time.
     Missed,
 }
 
 fn pressing(left: f64, estimate: f64) -> Pressing {
-    let slack = left - estimate;
-    if slack < -0.25 * estimate {
-        Pressing::Missed
-    } else if slack < (0.5 * estimate).max(15.0) {
-        Pressing::Now
-    } else {
-        Pressing::Later
-    }
+    // Estimates are often wrong by a quarter.
+    if left < 0.75 * estimate { Pressing::Missed } else { Pressing::InTime }
 }
 
 /// What a round has decided so far.
@@ -462,3 +457,18 @@
         Some(None) => HasImage::No,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Jobs with time left once waited behind those that had to start soon: in
+    // overload nearly all became late that way.
+    #[test]
+    fn what_has_time_left_ranks_with_what_must_start_soon() {
+        assert_eq!(pressing(500.0, 40.0), pressing(41.0, 40.0));
+        assert_eq!(pressing(32.0, 40.0), Pressing::InTime);
+        assert_eq!(pressing(28.0, 40.0), Pressing::Missed);
+        assert!(Pressing::InTime < Pressing::Missed);
+    }
+}
