--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -372,6 +372,16 @@
         let held = self.role.holdings.contains_key(&block);
         for (task, machine, attempt, session) in come {
             jobs.insert(task.job.clone());
+            // Single keys are read ahead of the watch, and own commits are known
+            // at once: another block's record that is newer may have the task by
+            // now. At no time do two records have it, so the newer one is right.
+            // Taken over, this one would hide the other's task until its own
+            // next version drops it, and the task would seem to wait.
+            let known = self.open_job(&task.job).and_then(|j| j.placed.get(&task.index));
+            let newer = known.filter(|p| p.committed && p.block != block);
+            if newer.and_then(|p| self.loads.get(&p.block)).is_some_and(|l| l.version > version) {
+                continue;
+            }
             let Some(job) = self.open_job_mut(&task.job) else { continue };
             let stop = (!job.is_open()).then_some(Stop::Withdrawn);
             match job.placed.get_mut(&task.index) {
@@ -620,6 +630,35 @@
         assert_eq!((placed.committed, placed.session), (true, 2));
     }
 
+    // After a cut, ten tasks ran twice: a block's newest record was read by
+    // itself after a conflict, then the watch caught up with older ones.
+    #[test]
+    fn an_older_record_of_another_block_hides_no_task_that_a_newer_one_has() {
+        let now = Instant::now();
+        let mut core = core();
+        let mut admitted = job();
+        admitted["to"] = json!({"0": [[1, 3]], "8": [[0, 0]]});
+        core.apply("dc/j/run-1", Some(admitted), 200, now);
+        // The task has moved from block 0 to block 8.
+        core.apply("dc/p/8", Some(json!({"j": ["run-1"], "m": {"i-8": [[0, 0, 0, 2]]}})), 210, now);
+        let set = |data: Value, version| Logged {
+            set: Some("dc/p/0".into()),
+            drop: None,
+            data: Some(data),
+            version,
+        };
+        let there = json!({"j": ["run-1"], "m": {"i-1": [[0, 0, 0]]}});
+        core.follow(Followed { revision: 150, log: vec![set(there, 150)] }, now);
+        let at = |core: &Core| core.open_job("run-1").unwrap().placed.get(&0).map(|p| (p.block, p.attempt));
+        assert_eq!(at(&core), Some((8, 2)));
+        assert!(core.machines.get("i-1").is_none_or(|m| m.tasks.is_empty()));
+        let gone = json!({"t": {"run-1": {"0": 1}}});
+        core.follow(Followed { revision: 220, log: vec![set(gone, 190)] }, now);
+        assert_eq!(at(&core), Some((8, 2)));
+        assert_eq!(core.open_job("run-1").unwrap().waiting_in(8), 0);
+        assert_eq!(core.machines["i-8"].tasks.len(), 1);
+    }
+
     #[test]
     fn a_withdrawn_job_stays_counted_until_all_that_came_before_is_known() {
         let now = Instant::now();
--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -28,7 +28,12 @@
 
 /// Probes on their way at a time: a holder that takes up hundreds of machines
 /// must not ask all at once.
-const MAX_PROBES: usize = 16;
+const MAX_PROBES: usize = 32;
+/// Silent machines about which the others are asked at a time.
+pub const MAX_CONSULTED: usize = 64;
+/// Most workers of a block that is taken up come by themselves so soon; the
+/// others are asked then.
+const TAKE_UP: Duration = Duration::from_millis(1500);
 
 type Kind = (String, String, bool);
 
@@ -73,6 +78,8 @@
     pub probe: Vec<(Arc<str>, String)>,
     /// Silent machines: name and address. Others should be asked about them.
     pub silent: Vec<(Arc<str>, String)>,
+    /// How many machines are silent, asked about or not.
+    pub quiet: usize,
     /// Records to write.
     pub records: Vec<GroupUnit>,
 }
@@ -267,7 +274,7 @@
                     machine.fate = Fate::Lost;
                 }
             } else {
-                let eager = machine.heard.is_none() && machine.missed_probes == 0;
+                let eager = machine.heard.is_none() && machine.missed_probes == 0 && age > TAKE_UP;
                 let ask = eager || silence > report.mul_f64(1.4);
                 if let Some(address) = &machine.address
                     && ask
@@ -289,6 +296,7 @@
                     );
                     machine.fate = Fate::Lost;
                 }
+                actions.quiet += usize::from(silence > report.mul_f64(1.9));
                 if silence > report.mul_f64(1.9) && machine.missed_probes >= 1 && machine.fate != Fate::Lost {
                     let address = machine.address.clone().unwrap_or_default();
                     actions.silent.push((machine.id.clone(), address));
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -16,7 +16,7 @@
 
 pub use blocks::{Holding, Lease};
 pub use commit::{Subject, UnitEnd, WorkUnit};
-pub use fleet::FleetActions;
+pub use fleet::{FleetActions, MAX_CONSULTED};
 pub use groups::GroupUnit;
 pub use session::{CommandEnd, HelloAnswer};
 
--- a/crates/dapplecroft-controller/src/loops/fleet.rs
+++ b/crates/dapplecroft-controller/src/loops/fleet.rs
@@ -1,6 +1,6 @@
 //! The cloud: machine types, lists, rentals, releases, and silent machines.
 
-use crate::core::GroupUnit;
+use crate::core::{GroupUnit, MAX_CONSULTED};
 use crate::node::{Node, now};
 use crate::records;
 use dapplecroft_cloud::{MAX_RELEASE, Rented};
@@ -46,7 +46,7 @@
             if !actions.silent.is_empty() && !self.consulting.swap(true, Ordering::Relaxed) {
                 let node = self.clone();
                 self.spawn(async move {
-                    node.consult(actions.silent).await;
+                    node.consult(actions.silent, actions.quiet).await;
                     node.consulting.store(false, Ordering::Relaxed);
                 });
             }
@@ -122,7 +122,15 @@
     /// Asks the other nodes about silent machines. If they reach what this node
     /// does not, this node is cut off: it gives up its role and releases
     /// nothing. Only what nobody reaches is given up.
-    async fn consult(&self, silent: Vec<(Arc<str>, String)>) {
+    ///
+    /// A few are asked about at a time, others the next time; whether this node
+    /// is cut off is told by them and by how many are quiet at all, long before
+    /// each has been probed.
+    async fn consult(&self, mut silent: Vec<(Arc<str>, String)>, quiet: usize) {
+        let turn = self.consulted.fetch_add(MAX_CONSULTED, Ordering::Relaxed);
+        let begin = turn % silent.len().max(1);
+        silent.rotate_left(begin);
+        silent.truncate(MAX_CONSULTED);
         let addresses: Vec<String> =
             silent.iter().map(|(_, a)| a.clone()).filter(|a| !a.is_empty()).collect();
         let mut reached = std::collections::HashSet::new();
@@ -138,9 +146,15 @@
             reached.extend(addresses);
         }
         let all = self.with(|core| core.heard_machines());
-        let most = silent.len() * 2 > all && all > 2;
+        let most = quiet * 2 > all && all > 2;
         if reached.len() * 2 > silent.len() && most {
-            tracing::info!(silent = silent.len(), all, "others reach the workers that this node does not");
+            tracing::info!(
+                quiet,
+                all,
+                asked = silent.len(),
+                reached = reached.len(),
+                "others reach the workers that this node does not"
+            );
             let lease = self.with(|core| {
                 core.step_down("cut off from the workers", now());
                 core.role.abstains = Some(now() + ABSTAIN);
@@ -152,7 +166,7 @@
             return;
         }
         if answers == 0 && most {
-            tracing::info!(silent = silent.len(), all, "most machines are silent and nobody can be asked");
+            tracing::info!(quiet, all, "most machines are silent and nobody can be asked");
             sleep(PAUSE * 2).await;
             return;
         }
--- a/crates/dapplecroft-controller/src/node.rs
+++ b/crates/dapplecroft-controller/src/node.rs
@@ -110,6 +110,8 @@
     /// Whether nobody is known to reach the state service.
     pub(crate) shared_outage: AtomicBool,
     pub(crate) consulting: AtomicBool,
+    /// How many silent machines the others were asked about so far.
+    pub(crate) consulted: AtomicUsize,
     /// When the state service last answered this node's lease renewal.
     pub(crate) touched: Mutex<Option<Instant>>,
 }
@@ -166,6 +168,7 @@
             helper: Mutex::default(),
             shared_outage: AtomicBool::new(false),
             consulting: AtomicBool::new(false),
+            consulted: AtomicUsize::new(0),
             touched: Mutex::default(),
         })
     }
--- a/crates/dapplecroft-controller/src/peers.rs
+++ b/crates/dapplecroft-controller/src/peers.rs
@@ -1,5 +1,6 @@
 //! What controllers ask of each other.
 
+use crate::core::MAX_CONSULTED;
 use crate::node::{Node, Reply, lock, now};
 use async_trait::async_trait;
 use dapplecroft_net::Request;
@@ -79,7 +80,7 @@
     /// Which of these workers this node gets an answer from.
     pub async fn own_probe(&self, addresses: Vec<String>) -> Vec<String> {
         let mut probes = JoinSet::new();
-        for address in addresses.into_iter().take(64) {
+        for address in addresses.into_iter().take(MAX_CONSULTED) {
             let node = self.0.clone();
             probes.spawn(async move { node.ask_status(&address).await.map(|_| address) });
         }
