--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -3,7 +3,6 @@
 
 use super::Core;
 use crate::jobs::{OpenJob, Placed, TaskId};
-use crate::ranges::Ranges;
 use crate::records::{self, JobStage, LoadRecord, Span};
 use dapplecroft_state::Unit;
 use dapplecroft_wire::state::{Change, Condition};
@@ -487,21 +486,3 @@
         }
     }
 }
-
-/// All tasks of a record's spans.
-pub(super) fn tasks_of(record: &LoadRecord) -> BTreeMap<&str, Vec<(&str, Span)>> {
-    record
-        .machines
-        .iter()
-        .map(|(machine, spans)| {
-            let named =
-                spans.iter().filter_map(|s| Some((record.jobs.get(s.job as usize)?.as_str(), *s))).collect();
-            (machine.as_str(), named)
-        })
-        .collect()
-}
-
-/// Ranges of a record, or none.
-pub(super) fn ranges_of(map: &BTreeMap<String, Ranges>, id: &str) -> Ranges {
-    map.get(id).cloned().unwrap_or_default()
-}
--- a/crates/dapplecroft-controller/src/core/groups.rs
+++ b/crates/dapplecroft-controller/src/core/groups.rs
@@ -2,7 +2,7 @@
 //! where workers listen, what its holder has given up, what the leader has
 //! released.
 
-use super::{Core, Group};
+use super::{Core, Group, reindex};
 use crate::machines::Machine;
 use crate::records::{self, GroupRecord, MemberRecord};
 use dapplecroft_state::Unit;
@@ -183,4 +183,84 @@
             self.new_group(&name, GroupRecord { block, machine_type, zone, spot, machines });
         }
     }
+
+    /// Brings the machines of a group up to its record. A machine that is no
+    /// longer in it was released, and the release was answered.
+    pub(super) fn apply_group(
+        &mut self,
+        name: &str,
+        record: Option<GroupRecord>,
+        version: u64,
+        now: Instant,
+    ) {
+        let name: Arc<str> = name.into();
+        let old = self.groups.remove(&name);
+        let mut removed: Vec<Arc<str>> = Vec::new();
+        if let Some(old) = &old {
+            let still = |id: &str| record.as_ref().is_some_and(|r| r.machines.contains_key(id));
+            removed.extend(old.record.machines.keys().filter(|id| !still(id)).map(|id| id.as_str().into()));
+        }
+        if let Some(record) = record {
+            let mut behind = false;
+            for (id, member) in &record.machines {
+                let id: Arc<str> = id.as_str().into();
+                let machine =
+                    self.machines.entry(id.clone()).or_insert_with(|| Machine::new(&id, record.block, now));
+                let fresh = machine.group.is_none();
+                machine.group = Some(name.clone());
+                machine.block = record.block;
+                if fresh {
+                    machine.machine_type.clone_from(&record.machine_type);
+                    machine.zone.clone_from(&record.zone);
+                    machine.spot = record.spot;
+                }
+                machine.given_up = member.given_up;
+                match (&machine.address, &member.address) {
+                    (None, Some(address)) => machine.address = Some(address.clone()),
+                    (Some(_), None) => behind = true,
+                    _ => {}
+                }
+            }
+            let writing = old.is_some_and(|g| g.writing);
+            self.groups.insert(name.clone(), Group { record, version, writing, behind });
+            self.size_machines();
+        }
+        for id in removed {
+            self.machine_gone(&id, now);
+            self.forget_machine(&id);
+        }
+        self.wakes.place = true;
+        self.wakes.fleet = true;
+    }
+
+    /// Forgets a released machine once no placement names it.
+    pub(super) fn forget_machine(&mut self, id: &str) {
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        machine.group = None;
+        if machine.tasks.is_empty() {
+            let (room, block, id) = (machine.room().cpus, machine.block, machine.id.clone());
+            if let Some(block) = self.roomy.get_mut(&block) {
+                block.remove(&(room, id.clone()));
+            }
+            self.machines.swap_remove(&id);
+        }
+    }
+
+    /// Gives machines what their types have, once both are known.
+    pub(super) fn size_machines(&mut self) {
+        let Some(catalog) = &self.catalog else { return };
+        let sizes: BTreeMap<&str, _> = catalog
+            .hulls
+            .iter()
+            .map(|h| (h.name.as_str(), dapplecroft_sched::Amounts::new(h.cpus, h.gpus, h.memory_gb)))
+            .collect();
+        for machine in self.machines.values_mut() {
+            let Some(size) = sizes.get(machine.machine_type.as_str()) else { continue };
+            if machine.capacity != *size {
+                let before = machine.room().cpus;
+                machine.capacity = *size;
+                reindex(&mut self.roomy, machine, before);
+            }
+        }
+    }
 }
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -10,6 +10,7 @@
 mod drain;
 mod fleet;
 mod groups;
+mod loads;
 mod placing;
 mod roles;
 mod session;
