--- a/crates/dapplecroft-controller/src/core/groups.rs
+++ b/crates/dapplecroft-controller/src/core/groups.rs
@@ -91,10 +91,34 @@
             .chain(released)
             .filter_map(|id| self.machines.get(id).and_then(|m| m.group.clone()))
             .collect();
+        let released_of: BTreeSet<Arc<str>> =
+            released.iter().filter_map(|id| self.machines.get(id).and_then(|m| m.group.clone())).collect();
+        // A wave of lost machines touches nearly all groups, again and again.
+        // Few are written at a time, or admissions and placements would wait
+        // behind them until the wave is over.
+        let most = (self.settings.params.state.txn_ops / 4).max(2);
+        let mut left = most.saturating_sub(self.groups_on_way());
+        let mut order: Vec<(u8, Arc<str>)> = self
+            .groups
+            .iter()
+            .filter(|(_, g)| !g.writing)
+            .filter_map(|(name, g)| match () {
+                // What ran on released machines waits for it elsewhere.
+                () if released_of.contains(name) => Some((0, name.clone())),
+                () if g.version == 0 => Some((1, name.clone())),
+                () if touched.contains(name) => Some((2, name.clone())),
+                () if addresses && g.behind => Some((3, name.clone())),
+                () => None,
+            })
+            .collect();
+        order.sort();
         let mut emptied = Vec::new();
-        for (name, group) in &mut self.groups {
-            let asked = group.version == 0 || touched.contains(name) || (addresses && group.behind);
-            if group.writing || !asked {
+        for (_, name) in &order {
+            if left == 0 {
+                break;
+            }
+            let Some(group) = self.groups.get_mut(name) else { continue };
+            if !addresses && group.version > 0 && !touched.contains(name) {
                 continue;
             }
             let holding = self.role.holdings.get(&group.record.block);
@@ -146,6 +170,7 @@
                 Change::Set { key, value, lease: None }
             };
             group.writing = true;
+            left -= 1;
             units.push(GroupUnit { name: name.clone(), unit: Unit { conditions, changes: vec![change] } });
         }
         for name in emptied {
@@ -154,6 +179,11 @@
         units
     }
 
+    /// How many records of groups are about to be committed.
+    pub fn groups_on_way(&self) -> usize {
+        self.groups.values().filter(|g| g.writing).count()
+    }
+
     /// Notes the end of a write; what was not made is worked out again.
     pub fn group_written(&mut self, name: &str) {
         if let Some(group) = self.groups.get_mut(name) {
--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -67,7 +67,9 @@
             let relaxed = self.state.write_room() > 0.5;
             // Units are put together when they can go, so that each has all that
             // its job has to commit by then.
-            while self.committer.waiting() < self.committer.enough() {
+            // Records of machines wait there as well; they must not keep these out.
+            let others = self.with(|core| core.groups_on_way());
+            while self.committer.waiting() < self.committer.enough() + others {
                 let Some(unit) = self.with(|core| core.next_unit(relaxed, now())) else { break };
                 let node = self.clone();
                 // It joins the queue at its first poll.
