--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -29,8 +29,11 @@
 /// Probes on their way at a time: a holder that takes up hundreds of machines
 /// must not ask all at once.
 const MAX_PROBES: usize = 32;
+/// The same for machines that have fallen silent: most will not answer, and what
+/// ran on them waits for that.
+const MAX_SILENT_PROBES: usize = 128;
 /// Silent machines about which the others are asked at a time.
-pub const MAX_CONSULTED: usize = 64;
+pub const MAX_CONSULTED: usize = 128;
 /// Most workers of a block that is taken up come by themselves so soon; the
 /// others are asked then.
 const TAKE_UP: Duration = Duration::from_millis(1500);
@@ -280,7 +283,7 @@
                     && ask
                     && !machine.probing
                     && !machine.releasing
-                    && probes < MAX_PROBES
+                    && probes < if machine.heard.is_some() { MAX_SILENT_PROBES } else { MAX_PROBES }
                 {
                     machine.probing = true;
                     probes += 1;
