--- a/crates/dapplecroft-controller/tests/stories/main.rs
+++ b/crates/dapplecroft-controller/tests/stories/main.rs
@@ -7,6 +7,7 @@
 mod cluster;
 mod ends;
 mod failures;
+mod fleet;
 mod late;
 mod restarts;
 mod users;
--- a/crates/dapplecroft-fakes/src/state.rs
+++ b/crates/dapplecroft-fakes/src/state.rs
@@ -26,6 +26,8 @@
     next_lease: u64,
     outage: bool,
     largest: usize,
+    changes: u64,
+    largest_value: usize,
 }
 
 /// A state service.
@@ -48,6 +50,11 @@
         Arc::default()
     }
 
+    /// How many puts and deletes were asked for so far; what fails counts too.
+    pub fn changes(&self) -> u64 {
+        self.inner.lock().unwrap().changes
+    }
+
     /// Begins or ends an outage; afterwards every lease has its full time.
     pub fn outage(&self, on: bool) {
         let mut inner = self.inner.lock().unwrap();
@@ -83,12 +90,21 @@
         self.inner.lock().unwrap().largest
     }
 
+    /// The most bytes that a value has had.
+    pub fn largest_value(&self) -> usize {
+        self.inner.lock().unwrap().largest_value
+    }
+
     fn multi(&self, body: &[u8]) -> Response {
         let mut inner = self.inner.lock().unwrap();
         let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else {
             return answer(400, json!({"error": "malformed"}));
         };
+        inner.changes += transaction.changes.len() as u64;
         for change in &transaction.changes {
+            if let Change::Set { value, .. } = change {
+                inner.largest_value = inner.largest_value.max(value.to_string().len());
+            }
             if let Change::Set { lease: Some(lease), .. } = change
                 && !inner.leases.contains_key(lease)
             {
