--- a/crates/dapplecroft-controller/src/core/roles.rs
+++ b/crates/dapplecroft-controller/src/core/roles.rs
@@ -33,7 +33,13 @@
     /// Takes note that a key of this process's role is no longer what it was.
     pub fn role_lost(&mut self, key: &str, now: Instant) {
         match records::Key::parse(key) {
-            Some(records::Key::Leader) => self.resign("replaced", now),
+            Some(records::Key::Leader) => {
+                self.resign("replaced", now);
+                // The copy may still have this process's own key, and it would
+                // take up its old role by that: not before a confirmation.
+                self.role.contact = None;
+                self.role.pending.clear();
+            }
             Some(records::Key::Block(block)) => self.lose_block(block, "leased to another", now),
             _ => {}
         }
@@ -142,3 +148,35 @@
         0.24 / nodes + 0.22 * f64::from(u8::from(self.role.leadership.is_some())) + 0.54 * held
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::options::Options;
+    use dapplecroft_wire::settings::Settings;
+    use serde_json::json;
+
+    // After a cut, a replaced leader found its own key in its copy, which had
+    // not caught up, and took its role up again for a moment.
+    #[test]
+    fn a_replaced_leader_acts_by_its_own_old_key_no_more() {
+        let text = json!({"host_name": "c-0", "listen": "10.0.0.1:1", "back": "10.0.0.1:2",
+            "external": {"cloud": "10.0.0.2:1", "state": "10.0.0.2:2"},
+            "facts": {"nodes": 1, "teams": [], "workers": {"report_s": 3.0, "lease_s": 27.0, "cancel_s": 47.0},
+                "state": {"rps": 100.0, "write_rps": 20.0, "value_kb": 8.0, "txn_ops": 12},
+                "cloud": {"rps": 5.0, "list_lag_s": 8.0}}});
+        let settings = Settings::parse(&text.to_string()).unwrap();
+        let now = Instant::now();
+        let mut core = Core::new(settings.into(), Options::default(), "p".into());
+        core.followed = 5;
+        core.lead(5);
+        core.begin_to_lead(now);
+        core.confirmed(now, 5);
+        assert!(core.leads(now));
+        core.role_lost(records::LEADER, now);
+        // The copy says still that the key is its own.
+        core.lead(5);
+        core.begin_to_lead(now);
+        assert!(!core.leads(now));
+    }
+}
