Twice as many records of machines at a time; changes that an outage refused are not counted

Tries of changes during an outage used up this node's own budget, though the service counts none of them; at its end write_room was -2.3, and starts waited for it (simulated).

--- a/crates/dapplecroft-controller/src/core/groups.rs
+++ b/crates/dapplecroft-controller/src/core/groups.rs
@@ -96,7 +96,7 @@
         // A wave of lost machines touches nearly all groups, again and again.
         // Few are written at a time, or admissions and placements would wait
         // behind them until the wave is over.
-        let most = (self.settings.params.state.txn_ops / 4).max(2);
+        let most = (self.settings.params.state.txn_ops / 2).max(2);
         let mut left = most.saturating_sub(self.groups_on_way());
         let mut order: Vec<(u8, Arc<str>)> = self
             .groups
--- a/crates/dapplecroft-net/src/budget.rs
+++ b/crates/dapplecroft-net/src/budget.rs
@@ -47,6 +47,13 @@
         }
     }
 
+    /// Gives back `units` that were taken and not used.
+    pub fn give_back(&self, units: f64) {
+        let mut inner = self.lock();
+        inner.refill();
+        inner.level = (inner.level + units).min(inner.rate.max(1.0));
+    }
+
     /// Units a second.
     pub fn rate(&self) -> f64 {
         self.lock().rate
--- a/crates/dapplecroft-state/src/lib.rs
+++ b/crates/dapplecroft-state/src/lib.rs
@@ -14,6 +14,9 @@
 /// How long ordinary requests wait for an answer.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
+/// What is told of a request that an outage kept from being executed.
+const OUTAGE: &str = "status 503";
+
 /// What a transaction that was carried out came to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Verdicts {
@@ -92,7 +95,8 @@
         };
         match self.transport.send(request).await {
             // 429 and 503 say that the request was not executed.
-            Ok(r) if r.status == 429 || r.status == 503 => Outcome::Refused(format!("status {}", r.status)),
+            Ok(r) if r.status == 503 => Outcome::Refused(OUTAGE.into()),
+            Ok(r) if r.status == 429 => Outcome::Refused("status 429".into()),
             Ok(r) => Outcome::Done(r),
             Err(Failure::NotSent(e)) => Outcome::Refused(e),
             Err(Failure::Unknown(e)) => Outcome::Unknown(e),
@@ -157,7 +161,13 @@
             Ok(body) => body,
             Err(e) => return Outcome::Refused(e.to_string()),
         };
-        match self.call(Method::POST, "/multi".into(), body, TIMEOUT).await {
+        let outcome = self.call(Method::POST, "/multi".into(), body, TIMEOUT).await;
+        if matches!(&outcome, Outcome::Refused(error) if error == OUTAGE) {
+            // It was not counted there. Tries during an outage would else leave
+            // a debt, and all that has gathered would wait for it afterwards.
+            self.writes.give_back(writes);
+        }
+        match outcome {
             Outcome::Done(r) if r.status == 200 => {
                 read::<Verdict>(&r).map(|v| Verdicts::Committed(v.revision))
             }
