--- a/crates/dapplecroft-controller/src/core/admission.rs
+++ b/crates/dapplecroft-controller/src/core/admission.rs
@@ -4,6 +4,7 @@
 use super::placing::Round;
 use crate::jobs::OpenJob;
 use crate::ranges::Ranges;
+use crate::records::{PartId, stored_size};
 use dapplecroft_sched::{Amounts, Candidate, HasImage, best_fit};
 use dapplecroft_wire::peer::{BlockRoom, FreedRoom, RoomReply};
 use dapplecroft_wire::users::Rank;
@@ -28,7 +29,7 @@
 pub(super) struct Hint {
     version: u64,
     at: Instant,
-    freed: HashMap<Arc<str>, Amounts>,
+    pub(super) freed: HashMap<Arc<str>, Amounts>,
 }
 
 /// What a block could start of a job.
@@ -44,21 +45,24 @@
 impl Core {
     /// What has become free in this holder's blocks since their records.
     pub fn freed_room(&self) -> RoomReply {
-        let mut blocks: BTreeMap<u32, BlockRoom> = BTreeMap::new();
+        let mut parts: BTreeMap<PartId, BlockRoom> = BTreeMap::new();
         for machine in self.machines.values().filter(|m| self.is_holder(m.block)) {
             let mut freed = Amounts::default();
+            let mut home = None;
             for task in &machine.tasks {
                 let Some(job) = self.open_job(&task.job) else { continue };
-                if job.placed.get(&task.index).is_some_and(|p| p.freed) {
+                if let Some(placed) = job.placed.get(&task.index).filter(|p| p.freed) {
                     freed += job.need.amounts;
+                    home = Some(placed.home);
                 }
             }
-            if freed != Amounts::default() {
-                let version = self.loads.get(&machine.block).map_or(0, |l| l.version);
-                let entry = blocks.entry(machine.block).or_insert_with(|| BlockRoom {
-                    block: machine.block,
+            if let Some(home) = home {
+                let version = self.loads.get(&home).map_or(0, |l| l.version);
+                let entry = parts.entry(home).or_insert_with(|| BlockRoom {
+                    block: home.block,
                     version,
                     freed: Vec::new(),
+                    part: home.part,
                 });
                 entry.freed.push(FreedRoom {
                     machine: machine.id.to_string(),
@@ -68,14 +72,15 @@
                 });
             }
         }
-        RoomReply { blocks: blocks.into_values().collect() }
+        RoomReply { blocks: parts.into_values().collect() }
     }
 
     /// Takes over what has become free in another holder's blocks. It counts
     /// only on top of the record that it was told with, and not for long.
     pub fn take_room(&mut self, reply: &RoomReply, now: Instant) {
         for block in &reply.blocks {
-            let current = self.loads.get(&block.block).map_or(0, |l| l.version);
+            let home = PartId { block: block.block, part: block.part };
+            let current = self.loads.get(&home).map_or(0, |l| l.version);
             if current != block.version || self.is_holder(block.block) {
                 continue;
             }
@@ -87,17 +92,19 @@
                     (f.machine.as_str().into(), amounts)
                 })
                 .collect();
-            self.hints.insert(block.block, Hint { version: current, at: now, freed });
+            self.hints.insert(home, Hint { version: current, at: now, freed });
             self.wakes.place = true;
         }
     }
 
-    /// What another holder has told to be free on a machine since its record.
-    pub(super) fn hinted(&self, block: u32, now: Instant) -> Option<&HashMap<Arc<str>, Amounts>> {
-        let hint = self.hints.get(&block)?;
-        let current = self.loads.get(&block).map_or(0, |l| l.version);
-        let fresh = now.saturating_duration_since(hint.at) < HINT_LASTS;
-        (fresh && hint.version == current).then_some(&hint.freed)
+    /// What another holder has told to be free on machines since their records.
+    pub(super) fn hinted(&self, block: u32, now: Instant) -> Vec<&Hint> {
+        let of = PartId::whole(block)..=PartId::new(block, u32::MAX);
+        let fresh = |id: &PartId, hint: &Hint| {
+            let current = self.loads.get(id).map_or(0, |l| l.version);
+            now.saturating_duration_since(hint.at) < HINT_LASTS && hint.version == current
+        };
+        self.hints.range(of).filter(|(id, hint)| fresh(id, hint)).map(|(_, hint)| hint).collect()
     }
 
     /// Whether a block has a holder that is up.
@@ -172,7 +179,7 @@
             .iter()
             .filter(|(block, machines)| {
                 let most = machines.last().map_or(-1, |(free, _)| *free);
-                (most >= job.need.amounts.cpus || self.hinted(**block, now).is_some())
+                (most >= job.need.amounts.cpus || !self.hinted(**block, now).is_empty())
                     && self.is_served(**block)
             })
             .map(|(block, _)| self.fit(id, job, *block, round, now))
@@ -206,8 +213,10 @@
             let most = if own { fit.total.min(round.left as i64) } else { fit.total };
             let n = left.min(most);
             if n > 0 {
+                if !self.admit_to(id, fit.block, n as u32, round, now) {
+                    return;
+                }
                 left -= n;
-                self.admit_to(id, fit.block, n as u32, round, now);
                 if own {
                     self.place_in(id, fit.block, round, now);
                 }
@@ -221,20 +230,32 @@
         }
     }
 
-    fn admit_to(&mut self, id: &Arc<str>, block: u32, count: u32, round: &mut Round, now: Instant) {
-        let Some(job) = self.open_job_mut(id) else { return };
+    /// `false`: the job's record would outgrow a value. What is admitted has to
+    /// end first; that makes it smaller again.
+    fn admit_to(&mut self, id: &Arc<str>, block: u32, count: u32, round: &mut Round, now: Instant) -> bool {
+        let Some(job) = self.open_job_mut(id) else { return false };
         let ranges = job.unadmitted.head(count);
+        let before = job.admitting.clone();
         let own = job.admitting.entry(block).or_default();
         *own = own.union(&ranges);
+        let Some(job) = self.open_job(id) else { return false };
+        let admitted = self.admissions(job);
+        if !self.is_mixed() && stored_size(&self.job_value(&admitted)) > self.limits().value {
+            if let Some(job) = self.open_job_mut(id) {
+                job.admitting = before;
+            }
+            return false;
+        }
         self.rederive(id);
         self.mark_job(id);
-        let Some(job) = self.open_job(id) else { return };
+        let Some(job) = self.open_job(id) else { return false };
         if !self.is_holder(block) {
             self.reserve(id, job, block, i64::from(count), round, now);
         }
         if !self.is_holder(block) || round.scarce {
             *round.backlog.entry(block).or_default() += job.need.amounts.cpus * i64::from(count);
         }
+        true
     }
 
     /// How many processors each block has that are up.
--- a/crates/dapplecroft-controller/src/core/blocks.rs
+++ b/crates/dapplecroft-controller/src/core/blocks.rs
@@ -1,7 +1,7 @@
 //! Leases of machine blocks: which the leader gives to whom, and what a holder
 //! does when it gains or loses one.
 
-use super::{Core, Subject, reindex};
+use super::{Core, reindex};
 use crate::jobs::Job;
 use crate::records::{self, BlockRecord};
 use dapplecroft_wire::state::{Change, Condition, Transaction};
@@ -139,7 +139,7 @@
         let leadership = self.role.leadership?;
         let mut conditions = vec![Condition { key: records::LEADER.into(), version: leadership }];
         let mut changes = Vec::new();
-        for lease in leases.iter().take(self.settings.params.state.txn_ops) {
+        for lease in leases.iter().take(self.limits().changes) {
             let key = records::block_key(lease.block);
             conditions.push(Condition { key: key.clone(), version: lease.version });
             let value = serde_json::to_value(&lease.record).ok()?;
@@ -176,6 +176,7 @@
     /// machines: only what they tell this holder counts.
     fn hold(&mut self, block: u32, holding: Holding, now: Instant) {
         self.role.holdings.insert(block, holding);
+        self.learn_parts(block);
         let mut jobs: Vec<Arc<str>> = Vec::new();
         for machine in self.machines.values_mut().filter(|m| m.block == block) {
             machine.reset(now);
@@ -185,12 +186,13 @@
         jobs.dedup();
         for id in jobs {
             let Some(Job::Open(job)) = self.jobs.get_mut(&id) else { continue };
-            for placed in job.placed.values_mut().filter(|p| p.block == block) {
+            for placed in job.placed.values_mut().filter(|p| p.home.block == block) {
                 placed.sent = 0;
                 placed.running = None;
                 placed.since = now;
             }
         }
+        self.plan_move(block, now);
         self.wakes.place = true;
         self.wakes.flush = true;
         self.wakes.fleet = true;
@@ -208,7 +210,7 @@
         for id in jobs {
             let Some(Job::Open(job)) = self.jobs.get_mut(&id) else { continue };
             let amounts = job.need.amounts;
-            for p in job.placed.values_mut().filter(|p| p.block == block && p.freed) {
+            for p in job.placed.values_mut().filter(|p| p.home.block == block && p.freed) {
                 p.freed = false;
                 if let Some(machine) = self.machines.get_mut(&p.machine) {
                     let before = machine.room().cpus;
@@ -217,12 +219,12 @@
                 }
             }
             let placed = &job.placed;
-            job.exits.retain(|i, _| placed.get(i).is_none_or(|p| p.block != block));
+            job.exits.retain(|i, _| placed.get(i).is_none_or(|p| p.home.block != block));
         }
-        if !self.on_way.contains_key(&Subject::Block(block)) {
-            self.drop_proposals_in(block);
-        }
-        self.lazy.retain(|(_, b)| *b != block);
+        self.drop_proposals_in(block);
+        self.lazy.retain(|(_, part)| part.block != block);
+        self.inherited.retain(|id, _| id.block != block);
+        self.pending.retain(|id, _| id.block != block);
         let machines = &self.machines;
         self.ghosts.retain(|_, on| machines.get(on).is_none_or(|m| m.block != block));
         for machine in self.machines.values_mut().filter(|m| m.block == block) {
--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -2,13 +2,15 @@
 //! job by the leader, of a block by its holder.
 
 use super::Core;
+use super::layout::to_value;
+use super::parts::Scale;
 use crate::jobs::{OpenJob, Placed, TaskId};
-use crate::records::{self, JobStage, LoadRecord, Span};
+use crate::machines::Machine;
+use crate::records::{self, FoldRecord, JobRecord, JobStage, LoadRecord, PartId, Span};
 use dapplecroft_state::Unit;
 use dapplecroft_wire::state::{Change, Condition};
 use dapplecroft_wire::users::Rank;
-use serde::Serialize;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -28,19 +30,21 @@
 /// while changes are scarce a job has its turn less often than a block.
 const JOB_TURN: Duration = Duration::from_secs(3);
 const URGENT_TURN: Duration = Duration::from_millis(700);
-/// Nothing more is placed in a block whose record has so much of a value's
-/// limit: what is left is for the ends of what is placed.
+/// Nothing more is placed in a block whose record of the first layout has so
+/// much of a value's limit: what is left is for the ends of what is placed.
 const SPARE: f64 = 0.7;
-/// Nothing that is proposed goes into a record beyond this part.
-const FULL: f64 = 0.85;
+/// Bytes of a record of completed tasks.
+const FOLD: usize = 900;
 
 /// Whose records a unit changes.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Subject {
     /// A job's.
     Job(Arc<str>),
-    /// A block's.
-    Block(u32),
+    /// A block's, or a part's of it.
+    Part(PartId),
+    /// A record that says nothing any more.
+    Litter(String),
 }
 
 /// A unit of changes.
@@ -65,10 +69,6 @@
     NotMade,
 }
 
-fn to_value<T: Serialize>(record: &T) -> serde_json::Value {
-    serde_json::to_value(record).unwrap_or_default()
-}
-
 impl Core {
     /// The next unit to commit, of anything that has none on its way. What ends
     /// jobs goes first, then admissions and placements. Ends of other tasks
@@ -84,23 +84,42 @@
             let subject = if let Some(subject) = self.first.pop().or_else(|| self.soon.pop()) {
                 subject
             } else if due(LAZIEST) {
-                Subject::Block(self.lazy.pop_front()?.1)
+                Subject::Part(self.lazy.pop_front()?.1)
             } else if let Some(subject) = self.next_dirty(relaxed, now) {
                 subject
             } else if due(if relaxed { Duration::ZERO } else { LAZY }) {
-                Subject::Block(self.lazy.pop_front()?.1)
+                Subject::Part(self.lazy.pop_front()?.1)
+            } else if let Some(key) = self.next_litter(relaxed) {
+                Subject::Litter(key)
             } else {
                 return None;
             };
-            // One that is on its way is looked at again when it has ended.
+            // One that is on its way is looked at again when it has ended. What
+            // a record of the first layout has may be moved over only once no
+            // write of that is on its way, which could come after it.
+            let before = match &subject {
+                Subject::Part(id) if id.part.is_some() => {
+                    let whole = Subject::Part(PartId::whole(id.block));
+                    self.on_way.contains_key(&whole).then_some(whole)
+                }
+                _ => None,
+            };
+            if let Some(whole) = before {
+                self.behind.entry(whole).or_default().insert(subject);
+                continue;
+            }
             if self.on_way.contains_key(&subject) {
                 self.again.insert(subject);
                 continue;
             }
             let unit = match &subject {
                 Subject::Job(id) => self.job_unit(id),
-                Subject::Block(block) => self.block_unit(*block),
+                Subject::Part(id) => self.part_unit(*id),
+                Subject::Litter(key) => self.litter_unit(key),
             };
+            if let Subject::Part(id) = &subject {
+                self.pending.remove(id);
+            }
             if let Some((unit, proposals)) = unit {
                 self.units += 1;
                 let number = self.units;
@@ -117,7 +136,7 @@
         for _ in 0..self.dirty.len() {
             let subject = self.dirty.pop()?;
             let turn = match &subject {
-                Subject::Block(_) => TURN,
+                Subject::Part(_) | Subject::Litter(_) => TURN,
                 Subject::Job(id) => match self.open_job(id) {
                     Some(job) if job.spec.priority < Rank::Normal => URGENT_TURN,
                     _ => JOB_TURN,
@@ -154,152 +173,168 @@
         self.wakes.flush = true;
     }
 
-    /// Asks for a commit of what is proposed in a block, for urgent work or not.
-    pub(super) fn mark_block(&mut self, block: u32, urgent: bool) {
+    /// Asks for a commit of what is proposed in a part, for urgent work or not.
+    pub(super) fn mark_part(&mut self, part: PartId, urgent: bool) {
         if urgent {
-            self.soon.push(Subject::Block(block));
+            self.soon.push(Subject::Part(part));
         } else {
-            self.dirty.push(Subject::Block(block));
+            self.dirty.push(Subject::Part(part));
         }
         self.wakes.flush = true;
     }
 
+    fn next_litter(&mut self, relaxed: bool) -> Option<String> {
+        if !relaxed || self.role.leadership.is_none() {
+            return None;
+        }
+        self.litter.pop_first()
+    }
+
+    fn litter_unit(&self, key: &str) -> Option<(Unit, Vec<(TaskId, Placed)>)> {
+        let version = self.version(key);
+        let conditions = vec![
+            Condition { key: records::LEADER.into(), version: self.role.leadership? },
+            Condition { key: key.into(), version },
+        ];
+        let changes = vec![Change::Drop { key: key.into() }];
+        (version > 0).then_some((Unit { conditions, changes }, Vec::new()))
+    }
+
     /// Notes that an end of one of a job's tasks has to be committed in a block.
-    pub(super) fn note_end(&mut self, id: &Arc<str>, block: u32, now: Instant) {
+    pub(super) fn note_end(&mut self, id: &Arc<str>, part: PartId, now: Instant) {
         let Some(job) = self.open_job(id) else { return };
         let more = job.exits.values().filter(|e| e.done).count() as u32;
-        if !job.is_open() || job.done.len() + more >= job.record.tasks {
-            self.first.push(Subject::Block(block));
-        } else if !self.lazy.iter().any(|(_, b)| *b == block) {
-            self.lazy.push_back((now, block));
+        // A replica is wanted again as soon as its end is committed.
+        if !job.is_open() || job.is_service() || job.done.len() + more >= job.record.tasks {
+            self.first.push(Subject::Part(part));
+        } else if !self.lazy.iter().any(|(_, p)| *p == part) {
+            self.lazy.push_back((now, part));
         }
         self.wakes.flush = true;
     }
 
-    /// The record of what runs in a block, with the ends and proposals of its
-    /// holder; and the proposals in it.
-    fn new_load(&self, block: u32) -> (LoadRecord, Vec<(TaskId, Placed)>) {
-        let params = &self.settings.params.state;
-        let most = (params.value_kb * 1024.0 * FULL) as usize;
-        let most_jobs = params.txn_ops * 3;
+    /// What of a part's completed tasks and last attempts is still of use, with
+    /// what it takes over from a record of the first layout.
+    fn carried(&self, id: PartId) -> LoadRecord {
         let mut record = LoadRecord::default();
-        let mut proposals = Vec::new();
-        let mut jobs: HashMap<Arc<str>, u32> = HashMap::new();
-        let mut asked: BTreeSet<Arc<str>> = BTreeSet::new();
-        let mut size = 64;
-        if let Some(old) = self.loads.get(&block) {
-            for (id, done) in &old.record.done {
-                let Some(job) = self.open_job(id).filter(|j| j.is_open()) else { continue };
-                let left = done.without(&job.record.folded);
+        let old = self.loads.get(&id).map(|l| (&l.record.done, &l.record.tries));
+        let inherited = self.inherited.get(&id).map(|i| (&i.done, &i.tries));
+        for (done, tries) in old.into_iter().chain(inherited) {
+            for (job_id, ranges) in done {
+                let Some(job) = self.open_job(job_id).filter(|j| j.is_open()) else { continue };
+                let left = ranges.without(&job.folded());
                 if !left.is_empty() {
-                    size += id.len() + 6 + left.pieces().len() * 12;
-                    record.done.insert(id.clone(), left);
+                    let all = record.done.entry(job_id.clone()).or_default();
+                    *all = all.union(&left);
                 }
             }
-            for (id, tries) in &old.record.tries {
-                let Some(job) = self.open_job(id).filter(|j| j.is_open()) else { continue };
-                let left: BTreeMap<u32, u64> =
-                    tries.iter().filter(|(i, _)| !job.done.contains(**i)).map(|(i, n)| (*i, *n)).collect();
-                if !left.is_empty() {
-                    size += id.len() + 6 + left.len() * 10;
-                    record.tries.insert(id.clone(), left);
+            for (job_id, own) in tries {
+                let Some(job) = self.open_job(job_id).filter(|j| j.is_open()) else { continue };
+                for (index, attempt) in own {
+                    if !job.done.contains(*index) && !job.outdates(id, *index, *attempt) {
+                        let all = record.tries.entry(job_id.clone()).or_default();
+                        let last = all.entry(*index).or_default();
+                        *last = (*last).max(*attempt);
+                    }
                 }
             }
         }
-        let mut waiting: Vec<(TaskId, Placed)> = Vec::new();
-        let mut add = |record: &mut LoadRecord, task: &TaskId, p: &Placed, size: &mut usize| {
-            let names = &mut record.jobs;
-            let job = *jobs.entry(task.job.clone()).or_insert_with(|| {
-                *size += task.job.len() + 3;
-                names.push(task.job.to_string());
-                names.len() as u32 - 1
-            });
-            if !record.machines.contains_key(&*p.machine) {
-                *size += p.machine.len() + 6;
-            }
-            let spans = record.machines.entry(p.machine.to_string()).or_default();
-            let joins = |s: &&mut Span| {
-                s.job == job && s.last + 1 == task.index && s.attempt == p.attempt && s.session == p.session
-            };
-            match spans.last_mut().filter(joins) {
-                Some(span) => span.last = task.index,
-                None => {
-                    *size += 14;
-                    spans.push(Span {
-                        job,
-                        first: task.index,
-                        last: task.index,
-                        attempt: p.attempt,
-                        session: p.session,
-                    });
-                }
-            }
-        };
-        for machine in self.machines.values().filter(|m| m.block == block && !m.tasks.is_empty()) {
+        for machine in self.to_cover(id) {
+            record.machines.insert(machine.to_string(), Vec::new());
+        }
+        record
+    }
+
+    /// The record of what runs in a part, with the ends and proposals of its
+    /// holder; and the proposals in it.
+    fn new_load(&self, id: PartId) -> (LoadRecord, Vec<(TaskId, Placed)>) {
+        let limits = self.limits();
+        let most_jobs = limits.changes * 3;
+        let mut record = self.carried(id);
+        let mut proposals = Vec::new();
+        let mut names: HashMap<Arc<str>, u32> = HashMap::new();
+        let mut waiting: Vec<(u8, Instant, TaskId, Placed)> = Vec::new();
+        let whole = id.part.is_none();
+        let here = |m: &&Machine| m.block == id.block && (whole || m.part == id.part) && !m.tasks.is_empty();
+        for machine in self.machines.values().filter(here) {
             for task in &machine.tasks {
                 let Some(job) = self.open_job(&task.job) else { continue };
-                let Some(p) = job.placed.get(&task.index).filter(|p| p.block == block) else { continue };
+                let Some(p) = job.placed.get(&task.index).filter(|p| p.home.block == id.block) else {
+                    continue;
+                };
                 if !p.committed {
-                    waiting.push((task.clone(), p.clone()));
+                    waiting.push((job.rank(), p.since, task.clone(), p.clone()));
                     continue;
                 }
                 match job.exits.get(&task.index).filter(|e| e.attempt == p.attempt) {
-                    None => add(&mut record, task, p, &mut size),
+                    None => add_task(&mut record, &mut names, task, p),
                     Some(_) if !job.is_open() => {}
                     Some(exit) if exit.done => {
                         record.done.entry(task.job.to_string()).or_default().insert(task.index);
-                        size += 8;
                     }
                     Some(exit) => {
                         let tries = record.tries.entry(task.job.to_string()).or_default();
                         tries.insert(task.index, exit.attempt);
-                        size += 10;
                     }
                 }
             }
         }
-        for (task, p) in waiting {
+        // What is most urgent goes into the record first, then what has waited.
+        waiting.sort_by(|a, b| (a.0, a.1, &a.2).cmp(&(b.0, b.1, &b.2)));
+        let mut asked: BTreeSet<Arc<str>> = BTreeSet::new();
+        let mut scale =
+            if whole { Scale::whole(&record, limits.value) } else { Scale::new(&record, limits.value) };
+        for (_, _, task, p) in waiting {
             // A task is placed only while its job is open and the record of the
             // job, to whose version the unit is bound, admits it to the block.
             let Some(job) = self.open_job(&task.job) else { continue };
-            let admitted = job.record.admitted.get(&block).is_some_and(|r| r.contains(task.index));
+            let admitted = job.record.admitted.get(&id.block).is_some_and(|r| r.contains(task.index));
             if !job.is_open() || !admitted {
                 continue;
             }
             // A value and a transaction have limits: the rest waits.
-            if size > most || (!asked.contains(&task.job) && asked.len() >= most_jobs) {
+            let bound = !asked.contains(&task.job) && asked.len() >= most_jobs;
+            if bound || !scale.take(&task, &p) {
                 continue;
             }
             asked.insert(task.job.clone());
             if let Some(tries) = record.tries.get_mut(&*task.job) {
                 tries.remove(&task.index);
             }
-            add(&mut record, &task, &p, &mut size);
+            add_task(&mut record, &mut names, &task, &p);
             proposals.push((task, p));
         }
         record.tries.retain(|_, t| !t.is_empty());
         (record, proposals)
     }
 
-    /// What is to be committed of a block, with what is proposed in it.
-    fn block_unit(&self, block: u32) -> Option<(Unit, Vec<(TaskId, Placed)>)> {
+    /// What is to be committed of a part, with what is proposed in it.
+    fn part_unit(&self, id: PartId) -> Option<(Unit, Vec<(TaskId, Placed)>)> {
         // A stale holder can commit nothing, hence start nothing.
-        let holding = self.role.holdings.get(&block)?;
-        let (record, proposals) = self.new_load(block);
-        let old = self.loads.get(&block);
+        let holding = self.role.holdings.get(&id.block)?;
+        let mut conditions = vec![Condition { key: records::block_key(id.block), version: holding.version }];
+        let key = id.key();
+        let old = self.loads.get(&id);
+        conditions.push(Condition { key: key.clone(), version: old.map_or(0, |o| o.version) });
+        if !self.is_mixed() && id.part.is_none() {
+            // Never written again: dropped once parts have all of it.
+            let moved = old.is_some() && self.is_moved(id.block);
+            let changes = vec![Change::Drop { key }];
+            return moved.then_some((Unit { conditions, changes }, Vec::new()));
+        }
+        let (record, proposals) = self.new_load(id);
         if old.is_some_and(|o| o.record == record) || (old.is_none() && record == LoadRecord::default()) {
             return None;
         }
-        let key = records::load_key(block);
-        let mut conditions = vec![
-            Condition { key: records::block_key(block), version: holding.version },
-            Condition { key: key.clone(), version: old.map_or(0, |o| o.version) },
-        ];
+        if let Some(whole) = self.loads.get(&PartId::whole(id.block)).filter(|_| id.part.is_some()) {
+            // No late write of it may come between this part and its being dropped.
+            conditions.push(Condition { key: PartId::whole(id.block).key(), version: whole.version });
+        }
         let jobs: BTreeSet<&Arc<str>> = proposals.iter().map(|(t, _)| &t.job).collect();
         for id in jobs {
             conditions.push(Condition { key: records::job_key(id), version: self.open_job(id)?.version });
         }
-        let changes = vec![Change::Set { key, value: to_value(&record), lease: None }];
+        let changes = vec![Change::Set { key, value: self.load_value(id, &record), lease: None }];
         Some((Unit { conditions, changes }, proposals))
     }
 
@@ -308,7 +343,7 @@
         let leadership = self.role.leadership.filter(|_| self.fleet.ready());
         let job = self.open_job(id)?;
         let mut conditions = vec![Condition { key: records::job_key(id), version: job.version }];
-        let record = if job.is_open() && job.done.len() == job.record.tasks {
+        let mut record = if job.is_open() && job.done.len() == job.record.tasks {
             // All that it rests on is committed, so anyone may end it.
             job.record.compact(JobStage::Done, job.done.len())
         } else if !job.is_open() {
@@ -329,13 +364,39 @@
         if record == job.record {
             return None;
         }
-        let change = Change::Set { key: records::job_key(id), value: to_value(&record), lease: None };
-        Some((Unit { conditions, changes: vec![change] }, Vec::new()))
+        let mut changes = Vec::new();
+        if !self.is_mixed() && record.spec.is_some() && !record.folded.is_empty() {
+            // A record of the second layout has no completed tasks: they get
+            // records of their own first, or with it if one transaction will do.
+            let folds = self.missing_folds(id, job);
+            let most = self.limits().changes;
+            let all = folds.len() < most;
+            for (key, fold) in folds.into_iter().take(if all { most } else { most.min(8) }) {
+                conditions.push(Condition { key: key.clone(), version: self.version(&key) });
+                changes.push(Change::Set { key, value: to_value(&fold), lease: None });
+            }
+            if !all {
+                return Some((Unit { conditions, changes }, Vec::new()));
+            }
+            record.folded = Default::default();
+        }
+        changes.push(Change::Set { key: records::job_key(id), value: self.job_value(&record), lease: None });
+        Some((Unit { conditions, changes }, Vec::new()))
     }
 
-    /// A job's record with this leader's decisions. What is done is noted in it
-    /// as well, so that it stays short.
-    fn admissions(&self, job: &OpenJob) -> records::JobRecord {
+    /// Records of completed tasks that a job's record of the first layout names
+    /// and no record of its own has yet.
+    fn missing_folds(&self, id: &str, job: &OpenJob) -> Vec<(String, FoldRecord)> {
+        let have = job.folds.values().fold(Default::default(), |all: crate::ranges::Ranges, f| all.union(f));
+        let left = job.record.folded.without(&have);
+        let numbers = (0..).filter(|n| !job.folds.contains_key(n));
+        let parts = left.chunks(FOLD);
+        numbers.zip(parts).map(|(n, done)| (records::fold_key(id, n), FoldRecord { done })).collect()
+    }
+
+    /// A job's record with this leader's decisions. While the first layout is in
+    /// force, what is done is noted in it as well, so that blocks need not.
+    pub(super) fn admissions(&self, job: &OpenJob) -> JobRecord {
         let mut record = job.record.clone();
         if job.admitting.is_empty() && job.revoking.is_empty() {
             return record;
@@ -349,9 +410,14 @@
                 *admitted = admitted.without(ranges);
             }
         }
-        record.folded = record.folded.union(&job.done);
+        if self.is_mixed() {
+            record.folded = record.folded.union(&job.done);
+        }
         for admitted in record.admitted.values_mut() {
-            *admitted = admitted.without(&record.folded);
+            *admitted = admitted.without(&job.done);
+            if !self.is_mixed() {
+                *admitted = admitted.bridge(&job.done);
+            }
         }
         record.admitted.retain(|_, r| !r.is_empty());
         record
@@ -415,15 +481,22 @@
                     self.mark_job(id);
                 }
             }
-            Subject::Block(block) => {
-                if !self.role.holdings.contains_key(block) {
-                    self.drop_proposals_in(*block);
+            Subject::Part(id) => {
+                if !self.role.holdings.contains_key(&id.block) {
+                    self.drop_proposals_in(id.block);
                 } else if end == UnitEnd::NotMade {
-                    self.mark_block(*block, false);
+                    self.mark_part(*id, false);
                 } else {
-                    self.drop_stuck(*block, now);
+                    self.inherited.remove(id);
+                    self.drop_stuck(*id, now);
                 }
+                self.continue_move(id.block, now);
             }
+            Subject::Litter(_) => {}
+        }
+        for next in self.behind.remove(&unit.subject).unwrap_or_default() {
+            self.soon.push(next);
+            self.wakes.flush = true;
         }
         if self.again.remove(&unit.subject) {
             self.soon.push(unit.subject.clone());
@@ -432,40 +505,32 @@
         self.wakes.place = true;
     }
 
-    /// Whether a block's record has no room for more placements.
+    /// Whether a block's one record of the first layout has no room for more.
     pub(super) fn is_record_full(&self, block: u32) -> bool {
-        let limit = self.settings.params.state.value_kb * 1024.0 * SPARE;
-        self.loads.get(&block).is_some_and(|l| l.size as f64 > limit)
+        let limit = self.limits().value as f64 * SPARE;
+        self.is_mixed() && self.loads.get(&PartId::whole(block)).is_some_and(|l| l.size as f64 > limit)
     }
 
-    /// Takes back proposals that found no room in their block's record.
-    fn drop_stuck(&mut self, block: u32, now: Instant) {
-        let stuck: Vec<(TaskId, Placed)> = self
-            .machines
-            .values()
-            .filter(|m| m.block == block)
-            .flat_map(|m| &m.tasks)
-            .filter_map(|t| Some((t.clone(), self.open_job(&t.job)?.placed.get(&t.index)?.clone())))
-            .filter(|(_, p)| !p.committed && now.saturating_duration_since(p.since) > STUCK)
-            .collect();
-        let jobs: BTreeSet<Arc<str>> = stuck.iter().map(|(t, _)| t.job.clone()).collect();
-        for (task, placed) in stuck {
-            self.withdraw_proposal(&task, &placed);
-        }
-        for id in jobs {
-            self.rederive(&id);
-        }
+    /// Takes back proposals that found no room in their part's record.
+    fn drop_stuck(&mut self, part: PartId, now: Instant) {
+        let old = |p: &Placed| now.saturating_duration_since(p.since) > STUCK;
+        self.drop_placed(part.block, |p| p.home == part && old(p));
     }
 
     /// Takes back all that is proposed in a block and not on its way.
     pub(super) fn drop_proposals_in(&mut self, block: u32) {
+        self.drop_placed(block, |_| true);
+    }
+
+    fn drop_placed(&mut self, block: u32, void: impl Fn(&Placed) -> bool) {
         let proposed: Vec<(TaskId, Placed)> = self
             .machines
             .values()
             .filter(|m| m.block == block)
             .flat_map(|m| &m.tasks)
             .filter_map(|t| Some((t.clone(), self.open_job(&t.job)?.placed.get(&t.index)?.clone())))
-            .filter(|(_, p)| !p.committed && p.block == block)
+            .filter(|(_, p)| !p.committed && p.home.block == block && void(p))
+            .filter(|(_, p)| !self.on_way.contains_key(&Subject::Part(p.home)))
             .collect();
         let jobs: BTreeSet<Arc<str>> = proposed.iter().map(|(t, _)| t.job.clone()).collect();
         for (task, placed) in proposed {
@@ -486,3 +551,26 @@
         }
     }
 }
+
+/// Adds a task to a record of what runs.
+fn add_task(record: &mut LoadRecord, names: &mut HashMap<Arc<str>, u32>, task: &TaskId, p: &Placed) {
+    let jobs = &mut record.jobs;
+    let job = *names.entry(task.job.clone()).or_insert_with(|| {
+        jobs.push(task.job.to_string());
+        jobs.len() as u32 - 1
+    });
+    let spans = record.machines.entry(p.machine.to_string()).or_default();
+    let joins = |s: &&mut Span| {
+        s.job == job && s.last + 1 == task.index && s.attempt == p.attempt && s.session == p.session
+    };
+    match spans.last_mut().filter(joins) {
+        Some(span) => span.last = task.index,
+        None => spans.push(Span {
+            job,
+            first: task.index,
+            last: task.index,
+            attempt: p.attempt,
+            session: p.session,
+        }),
+    }
+}
--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -2,16 +2,30 @@
 
 use super::{Core, Subject};
 use crate::jobs::{Job, OpenJob, Placed, Stop, TaskId};
-use crate::records::{GroupRecord, JobRecord, Key, LiveRecord, LoadRecord};
-use dapplecroft_wire::cloud::Catalog;
+use crate::legacy;
+use crate::records::{FoldRecord, JobRecord, Key, LayoutRecord, LiveRecord, LoadRecord, PartId};
+use dapplecroft_wire::cloud::{Catalog, MachineType};
 use dapplecroft_wire::state::{Followed, Item};
 use dapplecroft_wire::users::Rank;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeSet, HashSet};
 use std::sync::Arc;
 use std::time::Instant;
 
+/// Some of the machine types, and in how many records they are.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(super) struct CatalogPart {
+    /// How many records.
+    pub of: u32,
+    /// The types.
+    pub hulls: Vec<MachineType>,
+}
+
+/// Unreadable records are told of one by one up to so many.
+const TOLD: u64 = 50;
+
 impl Core {
     /// Takes over a full reading of the records.
     pub fn load(&mut self, items: Vec<Item>, revision: u64, now: Instant) {
@@ -56,6 +70,7 @@
             self.rederive(&id);
             self.finish_if_over(&id);
         }
+        self.settle_departed(Instant::now());
         // What was leased to this process may be known well enough by now.
         let waits = |version: u64| version <= followed;
         let leased = self.blocks.iter().any(|(n, (b, version))| {
@@ -80,7 +95,7 @@
         log.sort_by_key(|l| {
             let key = l.set.as_deref().or(l.drop.as_deref()).unwrap_or_default();
             let class = match Key::parse(key) {
-                Some(Key::Job(_)) => 0,
+                Some(Key::Format | Key::Job(_) | Key::Fold(..)) => 0,
                 Some(Key::Group(_)) => 1,
                 _ => 2,
             };
@@ -116,34 +131,58 @@
             }
         }
         match Key::parse(key) {
+            Some(Key::Format) => {
+                if let Some(record) = self.read::<LayoutRecord>(key, value) {
+                    self.apply_format(record.layout, now);
+                }
+            }
+            Some(Key::Mark(host)) => {
+                if let Some(record) = self.read::<LayoutRecord>(key, value) {
+                    let known = self.marks.entry(host.to_string()).or_default();
+                    *known = record.layout.max(*known);
+                    self.wakes.role = true;
+                }
+            }
             Some(Key::Job(id)) => {
-                if let Some(record) = read::<JobRecord>(key, value) {
+                if let Some(value) = value
+                    && let Some(record) = self.readable(key, legacy::read_job(value))
+                {
                     self.apply_job(id, record, version, now);
                 }
             }
-            Some(Key::Load(block)) => {
+            Some(Key::Fold(id, part)) => {
+                let record = value.and_then(|v| self.read::<FoldRecord>(key, Some(v)));
+                self.apply_fold(id, part, record);
+            }
+            Some(Key::Load(id)) => {
                 let size = value.as_ref().map_or(0, |v| v.to_string().len());
-                if let Some(record) = read::<LoadRecord>(key, value) {
-                    self.apply_load(block, record, size, version, now);
+                let record = match value {
+                    None => Some(LoadRecord::default()),
+                    Some(v) if id.part.is_none() => self.readable(key, legacy::read_load(v)),
+                    Some(v) => self.read::<LoadRecord>(key, Some(v)),
+                };
+                if let Some(record) = record {
+                    self.apply_load(id, record, size, version, now);
                 }
             }
             Some(Key::Group(name)) => match value {
                 Some(v) => {
-                    if let Some(record) = read::<GroupRecord>(key, Some(v)) {
+                    if let Some(record) = self.readable(key, legacy::read_group(v)) {
                         self.apply_group(name, Some(record), version, now);
                     }
                 }
                 None => self.apply_group(name, None, version, now),
             },
             Some(Key::Leader) => {
-                self.leader = value.and_then(|v| read(key, Some(v))).map(|r| (r, version));
+                let record = value.and_then(|v| self.read(key, Some(v)));
+                self.leader = record.map(|r| (r, version));
                 self.wakes.role = true;
                 if self.role.leadership.is_some_and(|own| own != version) {
                     self.resign("the leader's key changed", now);
                 }
             }
             Some(Key::Block(block)) => {
-                match value.and_then(|v| read(key, Some(v))) {
+                match value.and_then(|v| self.read(key, Some(v))) {
                     Some(record) => self.blocks.insert(block, (record, version)),
                     None => self.blocks.remove(&block),
                 };
@@ -153,7 +192,7 @@
                 }
             }
             Some(Key::Live(host)) => {
-                match value.and_then(|v| read::<LiveRecord>(key, Some(v))) {
+                match value.and_then(|v| self.read::<LiveRecord>(key, Some(v))) {
                     Some(record) => {
                         let same = self.live.get(host).is_some_and(|l| l.identity == record.identity);
                         if !same {
@@ -168,17 +207,24 @@
                 }
                 self.wakes.role = true;
             }
-            Some(Key::Catalog) => {
-                // A leader has it from the cloud, with the present prices.
-                if let Some(catalog) = read::<Catalog>(key, value)
-                    && (self.role.leadership.is_none() || self.catalog.is_none())
+            Some(Key::Catalog(None)) => {
+                if let Some(catalog) = self.read::<Catalog>(key, value)
+                    && self.catalog_parts.is_empty()
                 {
-                    self.catalog = Some(catalog);
-                    self.size_machines();
+                    self.know_types(catalog);
+                }
+            }
+            Some(Key::Catalog(Some(part))) => {
+                match value.and_then(|v| self.read::<CatalogPart>(key, Some(v))) {
+                    Some(record) => self.catalog_parts.insert(part, record),
+                    None => self.catalog_parts.remove(&part),
+                };
+                if let Some(catalog) = self.recorded_types() {
+                    self.know_types(catalog);
                 }
             }
             Some(Key::Drain(block)) => {
-                match value.and_then(|v| read(key, Some(v))) {
+                match value.and_then(|v| self.read(key, Some(v))) {
                     Some(record) => self.drains.insert(block, (record, version)),
                     None => self.drains.remove(&block),
                 };
@@ -187,6 +233,47 @@
         }
     }
 
+    /// A leader has the types from the cloud, with the present prices.
+    fn know_types(&mut self, catalog: Catalog) {
+        if self.role.leadership.is_none() || self.catalog.is_none() {
+            self.catalog = Some(catalog);
+            self.size_machines();
+        }
+    }
+
+    /// The machine types as their records say, once all of those are known.
+    pub(super) fn recorded_types(&self) -> Option<Catalog> {
+        let of = self.catalog_parts.get(&0)?.of;
+        let mut hulls = Vec::new();
+        for n in 0..of {
+            hulls.extend(self.catalog_parts.get(&n).filter(|p| p.of == of)?.hulls.iter().cloned());
+        }
+        Some(Catalog { hulls })
+    }
+
+    /// Completed tasks in a record of their own.
+    fn apply_fold(&mut self, id: &str, part: u32, record: Option<FoldRecord>) {
+        let id: Arc<str> = id.into();
+        match record {
+            Some(record) if !matches!(self.jobs.get(&id), Some(Job::Final { .. })) => {
+                self.folds.entry(id.clone()).or_default().insert(part, record.done);
+            }
+            Some(_) => {
+                self.litter.insert(crate::records::fold_key(&id, part));
+            }
+            None => {
+                if let Some(own) = self.folds.get_mut(&id) {
+                    own.remove(&part);
+                }
+            }
+        }
+        let known = self.folds.get(&id).cloned().unwrap_or_default();
+        if let Some(job) = self.open_job_mut(&id) {
+            job.folds = known;
+            self.rederive(&id);
+        }
+    }
+
     fn apply_job(&mut self, id: &str, record: JobRecord, version: u64, now: Instant) {
         let id: Arc<str> = id.into();
         if record.spec.is_none() {
@@ -219,6 +306,8 @@
             }
             None => {
                 let Some(job) = OpenJob::new(record, version, now) else { return };
+                let mut job = job;
+                job.folds = self.folds.get(&id).cloned().unwrap_or_default();
                 self.open.insert(id.clone());
                 self.jobs.insert(id.clone(), Job::Open(Box::new(job)));
                 self.reapply_loads(&id, now);
@@ -231,8 +320,9 @@
         // What was proposed on this admission can be committed now.
         if let Some(job) = self.open_job(&id) {
             let urgent = job.spec.priority < Rank::Normal;
-            let own: BTreeSet<u32> = job.placed.values().filter(|p| !p.committed).map(|p| p.block).collect();
-            own.into_iter().for_each(|block| self.mark_block(block, urgent));
+            let own: BTreeSet<PartId> =
+                job.placed.values().filter(|p| !p.committed).map(|p| p.home).collect();
+            own.into_iter().for_each(|part| self.mark_part(part, urgent));
         }
         self.finish_if_over(&id);
     }
@@ -282,18 +372,28 @@
             self.teams.book(&team, amounts.times(-counted));
             self.jobs.remove(id);
         }
+        let folds = self.folds.remove(id).unwrap_or_default();
+        self.litter.extend(folds.keys().map(|part| crate::records::fold_key(id, *part)));
         self.sent_at.remove(&Subject::Job(id.clone()));
         self.open.remove(id);
         self.waiting.remove(id);
     }
-}
 
-pub(super) fn read<T: DeserializeOwned>(key: &str, value: Option<Value>) -> Option<T> {
-    match serde_json::from_value(value?) {
-        Ok(record) => Some(record),
-        Err(error) => {
-            tracing::error!(key, %error, "a record cannot be read");
-            None
+    fn read<T: DeserializeOwned>(&mut self, key: &str, value: Option<Value>) -> Option<T> {
+        self.readable(key, serde_json::from_value(value?))
+    }
+
+    /// A record that can't be read is left as it is, told of and counted.
+    fn readable<T>(&mut self, key: &str, read: Result<T, serde_json::Error>) -> Option<T> {
+        match read {
+            Ok(record) => Some(record),
+            Err(error) => {
+                self.unreadable += 1;
+                if self.unreadable <= TOLD {
+                    tracing::error!(key, %error, all = self.unreadable, "a record cannot be read");
+                }
+                None
+            }
         }
     }
 }
@@ -366,7 +466,7 @@
             Placed {
                 attempt: 1,
                 machine: "i-1".into(),
-                block: 0,
+                home: PartId::whole(0),
                 session: 1,
                 committed: false,
                 since: now,
@@ -400,7 +500,8 @@
         };
         let there = json!({"j": ["run-1"], "m": {"i-1": [[0, 0, 0]]}});
         core.follow(Followed { revision: 150, log: vec![set(there, 150)] }, now);
-        let at = |core: &Core| core.open_job("run-1").unwrap().placed.get(&0).map(|p| (p.block, p.attempt));
+        let at =
+            |core: &Core| core.open_job("run-1").unwrap().placed.get(&0).map(|p| (p.home.block, p.attempt));
         assert_eq!(at(&core), Some((8, 2)));
         assert!(core.machines.get("i-1").is_none_or(|m| m.tasks.is_empty()));
         let gone = json!({"t": {"run-1": {"0": 1}}});
--- a/crates/dapplecroft-controller/src/core/drain.rs
+++ b/crates/dapplecroft-controller/src/core/drain.rs
@@ -3,7 +3,7 @@
 
 use super::Core;
 use crate::jobs::{Stop, TaskId};
-use crate::records::{self, DrainRecord};
+use crate::records::{self, DrainRecord, stored_size};
 use dapplecroft_sched::{DrainRules, Need, Resident, Slot, plan_drain};
 use dapplecroft_state::Unit;
 use dapplecroft_wire::state::{Change, Condition};
@@ -51,6 +51,11 @@
         let block = held.range(turn..).next().or_else(|| held.iter().next()).map(|(b, _)| *b)?;
         self.draining.turn = block + 1;
         let record = self.new_drain(block, now)?;
+        let value = serde_json::to_value(&record).ok()?;
+        if stored_size(&value) > self.limits().value {
+            // So many tasks are not moved at a time.
+            return None;
+        }
         self.draining.last = Some(now);
         tracing::info!(
             machine = record.machine,
@@ -60,7 +65,6 @@
         );
         let key = records::drain_key(block);
         let conditions = vec![self.block_condition(block)?, Condition { key: key.clone(), version: 0 }];
-        let value = serde_json::to_value(&record).ok()?;
         self.draining.writing = true;
         Some(Unit { conditions, changes: vec![Change::Set { key, value, lease: None }] })
     }
--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -1,11 +1,15 @@
 //! The wanted fleet, and what is to be done about the difference.
 
+use super::copy::CatalogPart;
+use super::layout::to_value;
 use super::{Core, GroupUnit};
 use crate::machines::{Fate, Machine};
-use crate::records::{self, GroupRecord, MemberRecord};
+use crate::records::{self, GroupRecord, MemberRecord, stored_size};
 use dapplecroft_cloud::MAX_RENT;
 use dapplecroft_sched::{Amounts, Need, Offer, Rooms, plan_rentals};
+use dapplecroft_state::Unit;
 use dapplecroft_wire::cloud::{Catalog, ListedMachine, RentRequest};
+use dapplecroft_wire::state::{Change, Condition};
 use dapplecroft_wire::workers::Report;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -99,13 +103,46 @@
             c
         };
         let changed = self.catalog.as_ref().is_none_or(|old| plain(old) != plain(&catalog));
-        let unrecorded = self.version(records::CATALOG) == 0;
+        let recorded = match self.recorded_types() {
+            Some(_) => true,
+            None => self.version(records::CATALOG) > 0,
+        };
+        let unrecorded = !recorded;
         self.catalog = Some(catalog);
         self.size_machines();
         self.wakes.place = true;
         changed || unrecorded
     }
 
+    /// The records of the machine types that differ from what is recorded: one
+    /// that any version reads, or as many as it takes for each to fit a value.
+    pub fn catalog_units(&self, catalog: &Catalog) -> Vec<Unit> {
+        let set = |key: String, value| {
+            let conditions = vec![Condition { key: key.clone(), version: self.version(&key) }];
+            Unit { conditions, changes: vec![Change::Set { key, value, lease: None }] }
+        };
+        if self.is_mixed() {
+            return vec![set(records::CATALOG.into(), to_value(catalog))];
+        }
+        let limit = self.limits().value;
+        let mut parts: Vec<CatalogPart> = Vec::new();
+        for hull in &catalog.hulls {
+            let mut with = parts.pop().unwrap_or(CatalogPart { of: 1000, hulls: Vec::new() });
+            with.hulls.push(hull.clone());
+            if stored_size(&to_value(&with)) > limit && with.hulls.len() > 1 {
+                with.hulls.pop();
+                parts.push(with);
+                with = CatalogPart { of: 1000, hulls: vec![hull.clone()] };
+            }
+            parts.push(with);
+        }
+        parts.retain(|p| stored_size(&to_value(p)) <= limit);
+        let of = parts.len() as u32;
+        let parts = parts.into_iter().map(|p| CatalogPart { of, ..p }).zip(0..);
+        let changed = parts.filter(|(p, n)| self.catalog_parts.get(n) != Some(p));
+        changed.map(|(p, n)| set(records::catalog_key(n), to_value(&p))).collect()
+    }
+
     fn offers(&self, now: Instant) -> Vec<Offer> {
         let Some(catalog) = &self.catalog else { return Vec::new() };
         let mut offers = Vec::new();
@@ -221,7 +258,7 @@
             .machines
             .values()
             .filter(|m| m.group.is_none() && self.role.holdings.contains_key(&m.block))
-            .filter(|m| self.loads.get(&m.block).is_none_or(|l| l.version <= self.followed))
+            .filter(|m| self.loads_of(m.block).all(|(_, l)| l.version <= self.followed))
             .map(|m| m.id.clone())
             .collect();
         for id in orphans {
--- a/crates/dapplecroft-controller/src/core/groups.rs
+++ b/crates/dapplecroft-controller/src/core/groups.rs
@@ -2,9 +2,11 @@
 //! where workers listen, what its holder has given up, what the leader has
 //! released.
 
+use super::layout::to_value;
 use super::{Core, Group, reindex};
+use crate::legacy;
 use crate::machines::Machine;
-use crate::records::{self, GroupRecord, MemberRecord};
+use crate::records::{self, GroupRecord, MemberRecord, stored_size};
 use dapplecroft_state::Unit;
 use dapplecroft_wire::state::{Change, Condition};
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,13 +31,78 @@
 }
 
 impl Core {
-    /// Begins a group of machines that this leader rented or takes in.
+    /// Begins a group of machines that this leader rented or takes in, or as
+    /// many as their records need to fit a value each.
     pub(super) fn new_group(&mut self, name: &str, record: GroupRecord) {
-        let group = Group { record, version: 0, writing: false, behind: false };
-        self.groups.insert(name.into(), group);
+        let records = if self.is_mixed() { vec![record] } else { record.split(self.limits().value) };
+        for (n, record) in records.into_iter().enumerate() {
+            let name = if n == 0 { name.to_string() } else { format!("{name}.{n}") };
+            let group = Group { record, version: 0, writing: false, behind: false };
+            self.groups.insert(name.into(), group);
+        }
         self.wakes.fleet = true;
     }
 
+    /// Whether a group's record is too large to be written again, or some of
+    /// its machines are in others already that take its place.
+    fn is_outgrown(&self, name: &str, group: &Group) -> bool {
+        let left = |id: &String| {
+            let own = self.machines.get(id.as_str()).and_then(|m| m.group.as_deref());
+            own.is_some_and(|g| g != name)
+        };
+        let most = self.limits().value * 7 / 8;
+        !self.is_mixed()
+            && group.version > 0
+            && (group.record.bytes() > most || group.record.machines.keys().any(left))
+    }
+
+    /// The next step of a group's move into smaller ones: some of its machines
+    /// get a record that is newer and so has them from then on; when none is
+    /// left, the outgrown one is dropped without ever being written again.
+    fn move_unit(&self, name: &Arc<str>, group: &Group) -> Option<Unit> {
+        let key = records::group_key(name);
+        let mut conditions = vec![
+            Condition { key: records::LEADER.into(), version: self.role.leadership? },
+            Condition { key: key.clone(), version: group.version },
+        ];
+        let mut left = group.record.clone();
+        left.machines.retain(|id, member| {
+            let machine = self.machines.get(id.as_str());
+            if let Some(machine) = machine {
+                member.address = machine.address.clone().or(member.address.take());
+            }
+            machine.is_none_or(|m| m.group.as_ref().is_none_or(|g| g == name))
+        });
+        if left.machines.is_empty() {
+            return Some(Unit { conditions, changes: vec![Change::Drop { key }] });
+        }
+        let part = left.split(self.limits().value).into_iter().next()?;
+        let fresh = |n: &u32| !self.groups.contains_key(format!("{name}.{n}").as_str());
+        let key = records::group_key(&format!("{name}.{}", (1..).find(fresh)?));
+        conditions.push(Condition { key: key.clone(), version: 0 });
+        let change = Change::Set { key, value: self.group_value(&part), lease: None };
+        Some(Unit { conditions, changes: vec![change] })
+    }
+
+    /// Takes note of machines that have left their group's record, once all that
+    /// came before that is known: those that are in no other were released, and
+    /// the release was answered.
+    pub(super) fn settle_departed(&mut self, now: Instant) {
+        let followed = self.followed;
+        type Departed = Vec<(u64, Arc<str>, Arc<str>)>;
+        let (known, later): (Departed, Departed) =
+            std::mem::take(&mut self.departed).into_iter().partition(|(v, _, _)| *v <= followed);
+        self.departed = later;
+        for (_, id, name) in known {
+            let named = self.groups.get(&name).is_some_and(|g| g.record.machines.contains_key(&*id));
+            let here = self.machines.get(&id).is_some_and(|m| m.group.as_ref() == Some(&name));
+            if here && !named {
+                self.machine_gone(&id, now);
+                self.forget_machine(&id);
+            }
+        }
+    }
+
     /// Whether a machine is in a group that is not committed yet.
     pub(super) fn is_expected(&self, machine: &str) -> bool {
         self.groups.values().any(|g| g.version == 0 && g.record.machines.contains_key(machine))
@@ -96,8 +163,21 @@
         // A wave of lost machines touches nearly all groups, again and again.
         // Few are written at a time, or admissions and placements would wait
         // behind them until the wave is over.
-        let most = (self.settings.params.state.txn_ops / 2).max(2);
+        let most = (self.limits().changes / 2).max(2);
         let mut left = most.saturating_sub(self.groups_on_way());
+        // One that was decided on before the layout was switched may be too large.
+        let large: Vec<Arc<str>> = self
+            .groups
+            .iter()
+            .filter(|(_, g)| !self.is_mixed() && g.version == 0 && !g.writing)
+            .filter(|(_, g)| g.record.most_bytes() > self.limits().value && g.record.machines.len() > 1)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in large {
+            if let Some(group) = self.groups.remove(&name) {
+                self.new_group(&name, group.record);
+            }
+        }
         let mut order: Vec<(u8, Arc<str>)> = self
             .groups
             .iter()
@@ -107,7 +187,8 @@
                 () if released_of.contains(name) => Some((0, name.clone())),
                 () if g.version == 0 => Some((1, name.clone())),
                 () if touched.contains(name) => Some((2, name.clone())),
-                () if addresses && g.behind => Some((3, name.clone())),
+                () if leadership.is_some() && self.is_outgrown(name, g) => Some((3, name.clone())),
+                () if addresses && g.behind => Some((4, name.clone())),
                 () => None,
             })
             .collect();
@@ -117,6 +198,18 @@
             if left == 0 {
                 break;
             }
+            if let Some(group) = self.groups.get(name)
+                && self.is_outgrown(name, group)
+            {
+                let Some(unit) = self.move_unit(name, group) else { continue };
+                if let Some(group) = self.groups.get_mut(name) {
+                    group.writing = true;
+                }
+                left -= 1;
+                units.push(GroupUnit { name: name.clone(), unit });
+                continue;
+            }
+            let (mixed, limit) = (self.is_mixed(), self.limits().value);
             let Some(group) = self.groups.get_mut(name) else { continue };
             if !addresses && group.version > 0 && !touched.contains(name) {
                 continue;
@@ -136,6 +229,25 @@
             if leadership.is_some() {
                 record.machines.retain(|id, _| !released.contains(id.as_str()));
             }
+            if !mixed {
+                // As many are given up at a time as the record has room for.
+                let fresh: Vec<String> = record
+                    .machines
+                    .iter()
+                    .filter(|(id, m)| {
+                        m.given_up && !group.record.machines.get(*id).is_some_and(|o| o.given_up)
+                    })
+                    .map(|(id, _)| id.clone())
+                    .collect();
+                for id in fresh.iter().rev() {
+                    if stored_size(&to_value(&record)) <= limit {
+                        break;
+                    }
+                    if let Some(member) = record.machines.get_mut(id) {
+                        member.given_up = false;
+                    }
+                }
+            }
             if record == group.record && group.version > 0 {
                 group.behind = false;
                 continue;
@@ -166,7 +278,7 @@
                 }
                 Change::Drop { key }
             } else {
-                let Ok(value) = serde_json::to_value(&record) else { continue };
+                let value = if mixed { legacy::write_group(&record) } else { to_value(&record) };
                 Change::Set { key, value, lease: None }
             };
             group.writing = true;
@@ -225,10 +337,10 @@
     ) {
         let name: Arc<str> = name.into();
         let old = self.groups.remove(&name);
-        let mut removed: Vec<Arc<str>> = Vec::new();
         if let Some(old) = &old {
             let still = |id: &str| record.as_ref().is_some_and(|r| r.machines.contains_key(id));
-            removed.extend(old.record.machines.keys().filter(|id| !still(id)).map(|id| id.as_str().into()));
+            let left = old.record.machines.keys().filter(|id| !still(id));
+            self.departed.extend(left.map(|id| (version, id.as_str().into(), name.clone())));
         }
         if let Some(record) = record {
             let mut behind = false;
@@ -237,6 +349,11 @@
                 let machine =
                     self.machines.entry(id.clone()).or_insert_with(|| Machine::new(&id, record.block, now));
                 let fresh = machine.group.is_none();
+                // A newer group that it has moved to keeps it.
+                let other = machine.group.as_ref().filter(|g| **g != name).and_then(|g| self.groups.get(g));
+                if other.is_some_and(|g| g.version > version && g.record.machines.contains_key(&*id)) {
+                    continue;
+                }
                 machine.group = Some(name.clone());
                 machine.block = record.block;
                 if fresh {
@@ -255,10 +372,7 @@
             self.groups.insert(name.clone(), Group { record, version, writing, behind });
             self.size_machines();
         }
-        for id in removed {
-            self.machine_gone(&id, now);
-            self.forget_machine(&id);
-        }
+        self.settle_departed(now);
         self.wakes.place = true;
         self.wakes.fleet = true;
     }
--- a/crates/dapplecroft-controller/src/core/loads.rs
+++ b/crates/dapplecroft-controller/src/core/loads.rs
@@ -3,7 +3,7 @@
 use super::{Core, Load};
 use crate::jobs::{Job, Placed, Stop, TaskId};
 use crate::ranges::Ranges;
-use crate::records::{LoadRecord, Span};
+use crate::records::{LoadRecord, PartId, Span};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Instant;
@@ -13,14 +13,19 @@
     /// changed are looked at.
     pub(super) fn apply_load(
         &mut self,
-        block: u32,
+        id: PartId,
         record: LoadRecord,
         size: usize,
         version: u64,
         now: Instant,
     ) {
-        let old = self.loads.remove(&block).unwrap_or_default();
-        let (before, after) = (tasks_of(&old.record), tasks_of(&record));
+        let block = id.block;
+        let old = self.loads.remove(&id).unwrap_or_default();
+        let (before, mut after) = (tasks_of(&old.record), tasks_of(&record));
+        if id.part.is_none() {
+            // Parts speak for their machines, whatever a whole block's record says.
+            after.retain(|m, _| self.recorded_part(block, m).is_none());
+        }
         let same = |a: &[(&str, Span)], b: &[(&str, Span)]| {
             a.len() == b.len()
                 && a.iter().zip(b).all(|((j, s), (k, t))| {
@@ -36,6 +41,7 @@
                 (Some(a), Some(b)) => !same(a, b),
                 _ => true,
             })
+            .filter(|m| id.part.is_some() || self.recorded_part(block, m).is_none())
             .collect();
         // First what has left, then what has come: a task may have moved.
         let mut come: Vec<(TaskId, Arc<str>, u64, u64)> = Vec::new();
@@ -43,11 +49,11 @@
         for name in &changed {
             let machine: Arc<str> = (*name).into();
             let mut there: BTreeMap<TaskId, (u64, u64)> = BTreeMap::new();
-            for (id, span) in after.get(name).into_iter().flatten() {
-                let Some((id, job)) = self.jobs.get_key_value(*id) else { continue };
+            for (job_id, span) in after.get(name).into_iter().flatten() {
+                let Some((job_id, job)) = self.jobs.get_key_value(*job_id) else { continue };
                 let Job::Open(job) = job else { continue };
                 for index in span.first..=span.last.min(job.record.tasks.saturating_sub(1)) {
-                    there.insert(TaskId { job: id.clone(), index }, (span.attempt, span.session));
+                    there.insert(TaskId { job: job_id.clone(), index }, (span.attempt, span.session));
                 }
             }
             if let Some(known) = self.machines.get(&machine) {
@@ -56,7 +62,10 @@
                         continue;
                     };
                     let stays = there.get(task).is_some_and(|(attempt, _)| *attempt == p.attempt);
-                    if p.committed && p.block == block && !stays {
+                    // What another part has is for that one to say, unless this one
+                    // takes over from a record of the first layout.
+                    let own = p.home == id || (p.home == PartId::whole(block) && id.part.is_some());
+                    if p.committed && own && !stays {
                         left.push((task.clone(), p.clone()));
                     }
                 }
@@ -82,8 +91,8 @@
             // Taken over, this one would hide the other's task until its own
             // next version drops it, and the task would seem to wait.
             let known = self.open_job(&task.job).and_then(|j| j.placed.get(&task.index));
-            let newer = known.filter(|p| p.committed && p.block != block);
-            if newer.and_then(|p| self.loads.get(&p.block)).is_some_and(|l| l.version > version) {
+            let newer = known.filter(|p| p.committed && p.home != id);
+            if newer.and_then(|p| self.loads.get(&p.home)).is_some_and(|l| l.version > version) {
                 continue;
             }
             let Some(job) = self.open_job_mut(&task.job) else { continue };
@@ -99,7 +108,7 @@
                     // session older than the record's would later pass for proof
                     // that the task is gone.
                     p.session = session;
-                    p.block = block;
+                    p.home = id;
                     p.stop = stop.or(p.stop);
                 }
                 other => {
@@ -108,7 +117,7 @@
                     let placed = Placed {
                         attempt,
                         machine: machine.clone(),
-                        block,
+                        home: id,
                         session,
                         committed: true,
                         since: now,
@@ -129,36 +138,39 @@
                 self.wakes.command.insert(machine);
             }
         }
-        for id in old.record.done.keys().chain(record.done.keys()) {
-            let new = ranges_of(&record.done, id);
-            if new == ranges_of(&old.record.done, id) {
+        for job in old.record.done.keys().chain(record.done.keys()) {
+            let new = ranges_of(&record.done, job);
+            if new == ranges_of(&old.record.done, job) {
                 continue;
             }
-            if let Some((id, Job::Open(_))) = self.jobs.get_key_value(id.as_str()) {
-                jobs.insert(id.clone());
+            if let Some((job, Job::Open(_))) = self.jobs.get_key_value(job.as_str()) {
+                jobs.insert(job.clone());
             }
         }
-        for id in old.record.tries.keys().chain(record.tries.keys()) {
-            if let Some((id, Job::Open(_))) = self.jobs.get_key_value(id.as_str()) {
-                jobs.insert(id.clone());
+        for job in old.record.tries.keys().chain(record.tries.keys()) {
+            if let Some((job, Job::Open(_))) = self.jobs.get_key_value(job.as_str()) {
+                jobs.insert(job.clone());
             }
         }
-        for id in &jobs {
-            let Some(job) = self.open_job_mut(id) else { continue };
-            let done = ranges_of(&record.done, id);
+        for job_id in &jobs {
+            let Some(job) = self.open_job_mut(job_id) else { continue };
+            let done = ranges_of(&record.done, job_id);
             if done.is_empty() {
-                job.done_in.remove(&block);
+                job.done_in.remove(&id);
             } else {
-                job.done_in.insert(block, done);
+                job.done_in.insert(id, done);
             }
-            match record.tries.get(&**id) {
-                Some(tries) => job.tries.insert(block, tries.clone()),
-                None => job.tries.remove(&block),
+            match record.tries.get(&**job_id) {
+                Some(tries) => job.tries.insert(id, tries.clone()),
+                None => job.tries.remove(&id),
             };
             let placed = &job.placed;
             job.exits.retain(|i, e| placed.get(i).is_some_and(|p| p.attempt == e.attempt));
         }
-        self.loads.insert(block, Load { record, version, size });
+        if size > 0 {
+            let weight = super::parts::weight(&record);
+            self.loads.insert(id, Load { record, version, size, weight });
+        }
         for id in &jobs {
             self.rederive(id);
             self.finish_if_over(id);
@@ -171,7 +183,7 @@
     /// taken over once the job is known. Else its tasks would seem to wait, and
     /// be started a second time.
     pub(super) fn reapply_loads(&mut self, id: &Arc<str>, now: Instant) {
-        let known: Vec<u32> = self
+        let known: Vec<PartId> = self
             .loads
             .iter()
             .filter(|(_, l)| {
@@ -180,11 +192,11 @@
                     || r.done.contains_key(&**id)
                     || r.tries.contains_key(&**id)
             })
-            .map(|(block, _)| *block)
+            .map(|(part, _)| *part)
             .collect();
-        for block in known {
-            if let Some(load) = self.loads.remove(&block) {
-                self.apply_load(block, load.record, load.size, load.version, now);
+        for part in known {
+            if let Some(load) = self.loads.remove(&part) {
+                self.apply_load(part, load.record, load.size, load.version, now);
             }
         }
     }
@@ -194,21 +206,23 @@
     /// when a copy is in doubt; it goes over all that runs.
     pub fn copy_faults(&self) -> Vec<String> {
         let mut faults = Vec::new();
-        for (block, load) in &self.loads {
+        for (part, load) in &self.loads {
             for (machine, spans) in tasks_of(&load.record) {
+                if part.part.is_none() && self.recorded_part(part.block, machine).is_some() {
+                    continue;
+                }
                 for (id, span) in spans {
                     let Some(job) = self.open_job(id) else { continue };
                     for index in span.first..=span.last {
                         let placed = job.placed.get(&index);
                         let here = |p: &Placed| p.attempt == span.attempt && *p.machine == *machine;
                         let moved = |p: &Placed| {
-                            let other = self.loads.get(&p.block).filter(|_| p.block != *block);
+                            let other = self.loads.get(&p.home).filter(|_| p.home != *part);
                             other.is_some_and(|l| l.version > load.version)
                         };
                         if !placed.is_some_and(|p| here(p) || moved(p)) {
-                            faults.push(format!(
-                                "{id}/{index} is on {machine} (block {block}), known: {placed:?}"
-                            ));
+                            faults
+                                .push(format!("{id}/{index} is on {machine} ({part:?}), known: {placed:?}"));
                         }
                     }
                 }
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -10,7 +10,10 @@
 mod drain;
 mod fleet;
 mod groups;
+mod layout;
 mod loads;
+mod moving;
+mod parts;
 mod placing;
 mod roles;
 mod session;
@@ -24,9 +27,8 @@
 use crate::jobs::{Job, OpenJob, Placed, TaskId};
 use crate::machines::Machine;
 use crate::options::Options;
-use crate::records::{
-    BlockRecord, DrainRecord, GroupRecord, JobRecord, JobStage, LeaderRecord, LiveRecord, LoadRecord,
-};
+use crate::ranges::Ranges;
+use crate::records::{BlockRecord, DrainRecord, GroupRecord, LeaderRecord, LiveRecord, LoadRecord, PartId};
 use dapplecroft_sched::{Amounts, Demand, Teams};
 use dapplecroft_wire::cloud::Catalog;
 use dapplecroft_wire::settings::Settings;
@@ -66,6 +68,8 @@
     pub role: bool,
     /// The fleet may need a change.
     pub fleet: bool,
+    /// This process must end.
+    pub end: bool,
 }
 
 /// A group of machines, as recorded.
@@ -136,6 +140,8 @@
     pub version: u64,
     /// How many bytes it takes.
     pub size: usize,
+    /// How many it may come to take by ends of what it has.
+    pub weight: usize,
 }
 
 /// A controller's knowledge and decisions.
@@ -148,6 +154,14 @@
     pub identity: String,
     /// Whether the records have been read.
     pub loaded: bool,
+    /// The layout of the records that is in force, as their record says.
+    pub format: u32,
+    /// The layouts that controllers were once seen to know.
+    pub marks: BTreeMap<String, u32>,
+    /// Why this process must end.
+    pub ended: Option<String>,
+    /// Records that could not be read.
+    pub unreadable: u64,
     /// Revision up to which changes are known.
     pub followed: u64,
     versions: HashMap<String, u64, RandomState>,
@@ -167,11 +181,13 @@
     /// When something of a job or block was last sent to be committed.
     sent_at: HashMap<Subject, Instant>,
     /// Blocks with nothing but ends of tasks to commit, since when.
-    lazy: VecDeque<(Instant, u32)>,
+    lazy: VecDeque<(Instant, PartId)>,
     /// Units on their way, by number.
     on_way: HashMap<Subject, u64>,
     /// What has more to commit once its unit has ended.
     again: HashSet<Subject>,
+    /// What waits for the end of another's unit.
+    behind: HashMap<Subject, HashSet<Subject>>,
     units: u64,
     /// Withdrawn jobs about which something earlier may not be known yet.
     unsettled: BTreeSet<Arc<str>>,
@@ -181,9 +197,21 @@
     /// task looks only at those where it may fit.
     roomy: BTreeMap<u32, BTreeSet<(i64, Arc<str>)>>,
     /// Room that other holders have told of.
-    hints: BTreeMap<u32, admission::Hint>,
-    /// What runs in each block.
-    pub loads: BTreeMap<u32, Load>,
+    hints: BTreeMap<PartId, admission::Hint>,
+    /// What runs in each block, by its records.
+    pub loads: BTreeMap<PartId, Load>,
+    /// What proposals add to the weight of parts.
+    pending: BTreeMap<PartId, usize>,
+    /// What parts take over from records of the first layout.
+    inherited: BTreeMap<PartId, moving::Inherited>,
+    /// Completed tasks in records of their own, by job.
+    folds: HashMap<Arc<str>, BTreeMap<u32, Ranges>>,
+    /// Keys that say nothing any more.
+    litter: BTreeSet<String>,
+    /// Machines that left a group's record, at which revision.
+    departed: Vec<(u64, Arc<str>, Arc<str>)>,
+    /// Parts of the machine types: of how many, and which.
+    catalog_parts: BTreeMap<u32, copy::CatalogPart>,
     /// Groups of machines.
     pub groups: BTreeMap<Arc<str>, Group>,
     /// Teams.
@@ -228,6 +256,10 @@
             options,
             identity,
             loaded: false,
+            format: 1,
+            marks: BTreeMap::new(),
+            ended: None,
+            unreadable: 0,
             followed: 0,
             versions: HashMap::default(),
             dropped: HashMap::new(),
@@ -241,7 +273,14 @@
             lazy: VecDeque::new(),
             on_way: HashMap::new(),
             again: HashSet::new(),
+            behind: HashMap::new(),
             loads: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            inherited: BTreeMap::new(),
+            folds: HashMap::new(),
+            litter: BTreeSet::new(),
+            departed: Vec::new(),
+            catalog_parts: BTreeMap::new(),
             units: 0,
             unsettled: BTreeSet::new(),
             machines: IndexMap::default(),
@@ -366,7 +405,7 @@
     /// Takes back proposals for tasks that the leader has taken back since from
     /// the block: the record that they would be bound to no longer allows them.
     fn drop_unadmitted(&mut self, id: &Arc<str>) {
-        self.drop_if(id, |job, index, p| !job.admits(p.block, index));
+        self.drop_if(id, |job, index, p| !job.admits(p.home.block, index));
     }
 
     /// Takes back proposed placements. Those in a block with a unit on its way
@@ -377,7 +416,7 @@
             .placed
             .iter()
             .filter(|(index, p)| !p.committed && void(job, **index, p))
-            .filter(|(_, p)| !self.on_way.contains_key(&Subject::Block(p.block)))
+            .filter(|(_, p)| !self.on_way.contains_key(&Subject::Part(p.home)))
             .map(|(i, p)| (*i, p.clone()))
             .collect();
         if void.is_empty() {
@@ -435,18 +474,3 @@
     block.remove(&(before, machine.id.clone()));
     block.insert((machine.room().cpus, machine.id.clone()));
 }
-
-impl JobRecord {
-    /// The compact form of a job that is over.
-    pub fn compact(&self, stage: JobStage, done: u32) -> JobRecord {
-        JobRecord {
-            stage,
-            tasks: self.tasks,
-            admitted: BTreeMap::new(),
-            folded: Default::default(),
-            done: Some(done),
-            at: self.at,
-            spec: None,
-        }
-    }
-}
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -275,7 +275,7 @@
         let kept = self.drains.get(&block).map(|(d, _)| d).filter(|d| *d.for_job != **id);
         // Where it failed, unless it fails everywhere.
         let avoid = job.failed_on.len() < 2;
-        let hinted = if epoch.is_none() { self.hinted(block, now) } else { None };
+        let hints = if epoch.is_none() { self.hinted(block, now) } else { Vec::new() };
         let consider = |name: &Arc<str>| {
             let machine = self.machines.get(name)?;
             let open = match epoch {
@@ -284,11 +284,15 @@
             };
             let barred =
                 kept.is_some_and(|d| *d.machine == **name) || (avoid && job.failed_on.contains(&**name));
-            if !open || barred || !need.allows(&machine.machine_type, &machine.zone, machine.spot) {
+            if !open
+                || barred
+                || self.is_recordless(machine)
+                || !need.allows(&machine.machine_type, &machine.zone, machine.spot)
+            {
                 return None;
             }
             let mut booked = machine.booked + reserved.get(name).copied().unwrap_or_default();
-            if let Some(freed) = hinted.and_then(|h| h.get(name)) {
+            if let Some(freed) = hints.iter().find_map(|h| h.freed.get(name)) {
                 booked -= *freed;
             }
             need.amounts.fits(&(machine.capacity - booked)).then(|| {
@@ -304,10 +308,11 @@
         let least: (i64, Arc<str>) = (need.amounts.cpus, "".into());
         let mut found: Vec<(Arc<str>, Candidate)> =
             roomy.range(least..).filter_map(|(_, name)| consider(name)).collect();
-        if let Some(hinted) = hinted {
+        if !hints.is_empty() {
             // Those that have room only by what was told besides their record.
-            let mut more: Vec<&Arc<str>> = hinted
-                .keys()
+            let mut more: Vec<&Arc<str>> = hints
+                .iter()
+                .flat_map(|h| h.freed.keys())
                 .filter(|name| self.machines.get(*name).is_some_and(|m| m.room().cpus < need.amounts.cpus))
                 .collect();
             more.sort_unstable();
@@ -344,6 +349,7 @@
         if round.is_full(Some(block), &need) {
             return;
         }
+        let urgent = job.spec.priority < Rank::Normal;
         if let Some((drain, _)) = self.drains.get(&block).cloned() {
             // What a drain moves goes where the drain says, if it still fits.
             for (_, index, _, to) in drain.moves.iter().filter(|(j, _, _, _)| *j == **id) {
@@ -353,12 +359,11 @@
                 let machines = self.candidates(id, job, block, &HashMap::new(), now);
                 if machines.iter().any(|(name, _)| *name == to) {
                     waiting.remove(position);
-                    self.propose(&TaskId { job: id.clone(), index: *index }, &to, block, now);
+                    self.propose(&TaskId { job: id.clone(), index: *index }, &to, urgent, now);
                 }
             }
         }
         let constrained = job_is_constrained(self.open_job(id));
-        let urgent = self.open_job(id).is_some_and(|j| j.spec.priority < Rank::Normal);
         while !waiting.is_empty() {
             let Some(job) = self.open_job(id) else { return };
             let mut machines = self.candidates(id, job, block, &HashMap::new(), now);
@@ -375,17 +380,21 @@
             if chosen.is_empty() {
                 break;
             }
-            let mut tasks = waiting.iter().copied();
             let mut used = 0;
             for (index, n) in chosen {
                 let machine = machines[index].0.clone();
-                for task in tasks.by_ref().take(n as usize) {
-                    self.propose(&TaskId { job: id.clone(), index: task }, &machine, block, now);
+                for _ in 0..n {
+                    let Some(task) = waiting.get(used).copied() else { break };
+                    let task = TaskId { job: id.clone(), index: task };
+                    // The machine may have room and its record none.
+                    if !self.propose(&task, &machine, urgent, now) {
+                        break;
+                    }
                     used += 1;
                 }
             }
             waiting.drain(..used);
-            if !constrained {
+            if !constrained || used == 0 {
                 break;
             }
         }
@@ -396,7 +405,6 @@
         if placed > 0 {
             round.left = round.left.saturating_sub(placed);
             self.rederive(id);
-            self.mark_block(block, urgent);
         }
     }
 
@@ -412,11 +420,17 @@
     }
 
     /// Books a task on a machine until its record is committed or refused; the
-    /// caller derives the job anew.
-    fn propose(&mut self, task: &TaskId, machine: &Arc<str>, block: u32, now: Instant) {
-        let Some(session) = self.machines.get(machine).map(|m| m.session) else { return };
-        let Some(Job::Open(job)) = self.jobs.get_mut(&task.job) else { return };
-        let attempt = job.next_attempt(task.index);
+    /// caller derives the job anew. `false`: there is no room in the record.
+    fn propose(&mut self, task: &TaskId, machine: &Arc<str>, urgent: bool, now: Instant) -> bool {
+        let Some(session) = self.machines.get(machine).map(|m| m.session) else { return false };
+        let Some(attempt) = self.open_job(&task.job).map(|j| j.next_attempt(task.index)) else {
+            return false;
+        };
+        let Some(home) = self.settle_part(machine) else { return false };
+        if !self.weigh(task, attempt, session, home) {
+            return false;
+        }
+        let Some(Job::Open(job)) = self.jobs.get_mut(&task.job) else { return false };
         let waited = now.saturating_duration_since(job.learned);
         tracing::debug!(%task, class = job.spec.class, machine = &**machine, attempt, ?waited, "placing");
         job.served = now;
@@ -425,7 +439,7 @@
             Placed {
                 attempt,
                 machine: machine.clone(),
-                block,
+                home,
                 session,
                 committed: false,
                 since: now,
@@ -435,7 +449,9 @@
                 freed: false,
             },
         );
-        self.book(task, machine, block, now);
+        self.book(task, machine, home.block, now);
+        self.mark_part(home, urgent);
+        true
     }
 }
 
--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -221,7 +221,7 @@
     fn end(&mut self, task: &TaskId, attempt: u64, why: Option<ExitReason>, id: &str, now: Instant) {
         let Some(Job::Open(job)) = self.jobs.get_mut(&task.job) else { return };
         let done = why == Some(ExitReason::Done);
-        let Some(block) = job.placed.get(&task.index).map(|p| p.block) else { return };
+        let Some(home) = job.placed.get(&task.index).map(|p| p.home) else { return };
         if job.exits.insert(task.index, Exit { attempt, done }).is_some() {
             return;
         }
@@ -256,7 +256,9 @@
             _ => {}
         }
         self.free(task);
-        self.note_end(&task.job, block, now);
+        // What runs where a record of the first layout says so ends in a part.
+        let part = if home.part.is_some() { Some(home) } else { self.settle_part(id) };
+        self.note_end(&task.job, part.unwrap_or(home), now);
     }
 
     /// Ends everything on a machine whose release was answered: it is gone.
@@ -266,7 +268,7 @@
         let Some(machine) = self.machines.get(id) else { return };
         for task in machine.tasks.clone() {
             let placed = self.open_job(&task.job).and_then(|j| j.placed.get(&task.index));
-            let own = placed.filter(|p| p.committed && p.machine == *id && self.is_holder(p.block));
+            let own = placed.filter(|p| p.committed && p.machine == *id && self.is_holder(p.home.block));
             if let Some(attempt) = own.map(|p| p.attempt) {
                 self.end(&task, attempt, None, id, now);
             }
--- a/crates/dapplecroft-controller/src/jobs.rs
+++ b/crates/dapplecroft-controller/src/jobs.rs
@@ -1,7 +1,7 @@
 //! Jobs as the records say, with what a block holder knows besides.
 
 use crate::ranges::Ranges;
-use crate::records::{JobRecord, JobStage};
+use crate::records::{JobRecord, JobStage, PartId};
 use dapplecroft_sched::{Amounts, Need};
 use dapplecroft_wire::users::{JobSpec, JobStatus, Rank, Stage};
 use std::collections::{BTreeMap, BTreeSet};
@@ -52,8 +52,8 @@
     pub attempt: u64,
     /// The machine.
     pub machine: Arc<str>,
-    /// The machine's block.
-    pub block: u32,
+    /// The part of its block in whose record it is, or will be.
+    pub home: PartId,
     /// The worker's session that it was placed in.
     pub session: u64,
     /// Whether the record is committed; nothing is commanded before.
@@ -91,10 +91,12 @@
     pub spec: JobSpec,
     /// What each task needs.
     pub need: Arc<Need>,
-    /// Completed tasks by the block in whose record they are.
-    pub done_in: BTreeMap<u32, Ranges>,
-    /// Last attempts of tasks that ended unfinished, by block.
-    pub tries: BTreeMap<u32, BTreeMap<u32, u64>>,
+    /// Completed tasks by the record of a block in which they are.
+    pub done_in: BTreeMap<PartId, Ranges>,
+    /// Completed tasks that records of their own have.
+    pub folds: BTreeMap<u32, Ranges>,
+    /// Last attempts of tasks that ended unfinished, by the record they are in.
+    pub tries: BTreeMap<PartId, BTreeMap<u32, u64>>,
     /// Tasks on machines or proposed.
     pub placed: BTreeMap<u32, Placed>,
     /// Completed tasks.
@@ -158,6 +160,7 @@
             spec,
             need: Arc::new(need),
             done_in: BTreeMap::new(),
+            folds: BTreeMap::new(),
             tries: BTreeMap::new(),
             placed: BTreeMap::new(),
             done: Ranges::default(),
@@ -182,7 +185,7 @@
     /// Works out, from records and proposals, which tasks are done and which
     /// wait where.
     pub fn derive(&mut self) {
-        let mut done = self.record.folded.clone();
+        let mut done = self.folded();
         for own in self.done_in.values() {
             done = done.union(own);
         }
@@ -215,6 +218,25 @@
         self.unadmitted = Ranges::below(self.record.tasks).without(&admitted);
     }
 
+    /// Completed tasks that no block's record needs to have.
+    pub fn folded(&self) -> Ranges {
+        self.folds.values().fold(self.record.folded.clone(), |all, own| all.union(own))
+    }
+
+    /// Whether a last attempt in a record says nothing any more, since another
+    /// record has a later one. Replicas run again for ever: what they have been
+    /// through must not gather.
+    pub fn outdates(&self, home: PartId, index: u32, attempt: u64) -> bool {
+        let later = |p: &Placed| p.committed && p.attempt > attempt;
+        self.placed.get(&index).is_some_and(later)
+            || self.tries.iter().any(|(id, t)| *id != home && t.get(&index).is_some_and(|n| *n > attempt))
+    }
+
+    /// Whether its tasks are replicas that run until it is withdrawn.
+    pub fn is_service(&self) -> bool {
+        self.spec.is_service()
+    }
+
     /// How many tasks count against the team: all that are admitted and not
     /// done, since a holder may have them running; of a withdrawn job, those
     /// not proven to have left their machines.
--- /dev/null
+++ b/crates/dapplecroft-controller/src/legacy.rs
@@ -0,0 +1,242 @@
+//! The records as the first version writes and reads them, which other
+//! controllers may still run until the layout is switched.
+//!
+//! Everything about them is here: reading them at any time, writing them while
+//! any member may be of the first version, and (in [`crate::core`]'s `moving`)
+//! what takes their place. A later version deletes this module whole and reads
+//! with `serde_json::from_value` instead.
+//!
+//! What the first version does with what it doesn't know: keys other than its
+//! own are logged and left alone; unknown fields are passed over, and lost when
+//! it writes the record again; a value that misses a field or has an unknown
+//! variant is logged as unreadable and not acted upon.
+
+use crate::ranges::Ranges;
+use crate::records::{GroupRecord, JobRecord, JobStage, LoadRecord, MemberRecord, Span};
+use dapplecroft_wire::users::JobSpec;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::{Error, Value};
+use std::collections::BTreeMap;
+
+type Pieces = Vec<(u32, u32)>;
+
+#[derive(Serialize, Deserialize)]
+struct OldJob {
+    stage: JobStage,
+    tasks: u32,
+    #[serde(rename = "to", default, skip_serializing_if = "BTreeMap::is_empty")]
+    admitted: BTreeMap<u32, Pieces>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    folded: Pieces,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    done: Option<u32>,
+    #[serde(default)]
+    at: f64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    spec: Option<JobSpec>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct OldLoad {
+    #[serde(rename = "j", default, skip_serializing_if = "Vec::is_empty")]
+    jobs: Vec<String>,
+    #[serde(rename = "m", default, skip_serializing_if = "BTreeMap::is_empty")]
+    machines: BTreeMap<String, Vec<Vec<u64>>>,
+    #[serde(rename = "d", default, skip_serializing_if = "BTreeMap::is_empty")]
+    done: BTreeMap<String, Pieces>,
+    #[serde(rename = "t", default, skip_serializing_if = "BTreeMap::is_empty")]
+    tries: BTreeMap<String, BTreeMap<u32, u64>>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct OldGroup {
+    block: u32,
+    #[serde(rename = "type")]
+    machine_type: String,
+    zone: String,
+    spot: bool,
+    machines: BTreeMap<String, OldMember>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct OldMember {
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    address: Option<String>,
+    #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
+    given_up: bool,
+}
+
+/// Reads a value of the first layout if it has a field that only that has, and
+/// one of the second if not.
+fn read<O: DeserializeOwned, N: DeserializeOwned>(
+    value: Value,
+    field: &str,
+    take_over: impl Fn(O) -> N,
+) -> Result<N, Error> {
+    if value.get(field).is_some() {
+        serde_json::from_value(value).map(take_over)
+    } else {
+        serde_json::from_value(value)
+    }
+}
+
+fn pieces(ranges: &Ranges) -> Pieces {
+    ranges.pieces().to_vec()
+}
+
+/// A job's record of either layout.
+pub fn read_job(value: Value) -> Result<JobRecord, Error> {
+    read(value, "stage", |old: OldJob| JobRecord {
+        stage: old.stage,
+        tasks: old.tasks,
+        admitted: old.admitted.into_iter().map(|(b, p)| (b, Ranges::from_pieces(p))).collect(),
+        folded: Ranges::from_pieces(old.folded),
+        done: old.done,
+        at: old.at,
+        spec: old.spec,
+    })
+}
+
+/// A job's record as the first version reads it.
+pub fn write_job(job: &JobRecord) -> Value {
+    value(&OldJob {
+        stage: job.stage,
+        tasks: job.tasks,
+        admitted: job.admitted.iter().map(|(b, r)| (*b, pieces(r))).collect(),
+        folded: pieces(&job.folded),
+        done: job.done,
+        at: job.at,
+        spec: job.spec.clone(),
+    })
+}
+
+/// What runs in a whole block.
+pub fn read_load(value: Value) -> Result<LoadRecord, Error> {
+    let old: OldLoad = serde_json::from_value(value)?;
+    let mut machines = BTreeMap::new();
+    for (machine, spans) in old.machines {
+        let spans: Option<Vec<Span>> = spans.iter().map(|s| read_span(s)).collect();
+        let spans = spans.ok_or_else(|| serde::de::Error::custom("unreadable tasks"))?;
+        machines.insert(machine, spans);
+    }
+    Ok(LoadRecord {
+        jobs: old.jobs,
+        machines,
+        done: old.done.into_iter().map(|(id, p)| (id, Ranges::from_pieces(p))).collect(),
+        tries: old.tries,
+    })
+}
+
+/// What runs in a whole block, as the first version reads it.
+pub fn write_load(load: &LoadRecord) -> Value {
+    let spans = |spans: &Vec<Span>| spans.iter().map(write_span).collect();
+    value(&OldLoad {
+        jobs: load.jobs.clone(),
+        machines: load.machines.iter().map(|(m, s)| (m.clone(), spans(s))).collect(),
+        done: load.done.iter().map(|(id, r)| (id.clone(), pieces(r))).collect(),
+        tries: load.tries.clone(),
+    })
+}
+
+fn read_span(numbers: &[u64]) -> Option<Span> {
+    let small = |n: u64| u32::try_from(n).ok();
+    let (job, first) = (*numbers.first()?, *numbers.get(1)?);
+    Some(Span {
+        job: small(job)?,
+        first: small(first)?,
+        last: small(numbers.get(2).copied().unwrap_or(first))?,
+        attempt: numbers.get(3).copied().unwrap_or(1),
+        session: numbers.get(4).copied().unwrap_or(1),
+    })
+}
+
+/// The shorter the more of its numbers have their usual values.
+fn write_span(span: &Span) -> Vec<u64> {
+    let all = [u64::from(span.job), u64::from(span.first), u64::from(span.last), span.attempt, span.session];
+    let length = match (span.last == span.first, span.attempt, span.session) {
+        (_, _, session) if session != 1 => 5,
+        (_, attempt, _) if attempt != 1 => 4,
+        (false, _, _) => 3,
+        _ => 2,
+    };
+    all[..length].to_vec()
+}
+
+/// A group of machines of either layout.
+pub fn read_group(value: Value) -> Result<GroupRecord, Error> {
+    read(value, "block", |old: OldGroup| GroupRecord {
+        block: old.block,
+        machine_type: old.machine_type,
+        zone: old.zone,
+        spot: old.spot,
+        machines: old
+            .machines
+            .into_iter()
+            .map(|(id, m)| (id, MemberRecord { address: m.address, given_up: m.given_up }))
+            .collect(),
+    })
+}
+
+/// A group of machines as the first version reads it.
+pub fn write_group(group: &GroupRecord) -> Value {
+    let member = |m: &MemberRecord| OldMember { address: m.address.clone(), given_up: m.given_up };
+    value(&OldGroup {
+        block: group.block,
+        machine_type: group.machine_type.clone(),
+        zone: group.zone.clone(),
+        spot: group.spot,
+        machines: group.machines.iter().map(|(id, m)| (id.clone(), member(m))).collect(),
+    })
+}
+
+fn value<T: Serialize>(record: &T) -> Value {
+    serde_json::to_value(record).unwrap_or_default()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    // Values that the first version wrote; see `fixtures/README.md`.
+    const WRITTEN: &str = include_str!("../fixtures/first-layout.json");
+
+    #[test]
+    fn what_the_first_version_wrote_is_read_and_written_back_as_it_was() {
+        let written: BTreeMap<String, Value> = serde_json::from_str(WRITTEN).unwrap();
+        let mut seen = [0; 3];
+        for (key, value) in written {
+            let (again, kind) = match key.split('/').nth(1) {
+                Some("j") => (write_job(&read_job(value.clone()).unwrap()), 0),
+                Some("p") => (write_load(&read_load(value.clone()).unwrap()), 1),
+                Some("m") => (write_group(&read_group(value.clone()).unwrap()), 2),
+                _ => continue,
+            };
+            assert_eq!(again, value, "{key}");
+            seen[kind] += 1;
+        }
+        assert!(seen.iter().all(|n| *n > 1), "{seen:?}");
+    }
+
+    #[test]
+    fn the_second_layout_of_a_job_has_no_field_that_the_first_version_needs() {
+        let old = json!({"stage": "open", "tasks": 4, "to": {"0": [[0, 3]]}, "at": 5.0});
+        let record = read_job(old.clone()).unwrap();
+        assert_eq!(record.admitted[&0].len(), 4);
+        let new = serde_json::to_value(&record).unwrap();
+        assert_eq!(new, json!({"s": "open", "n": 4, "to": {"0": "0-3"}, "at": 5.0}));
+        assert!(serde_json::from_value::<OldJob>(new.clone()).is_err());
+        assert_eq!(read_job(new).unwrap(), record);
+    }
+
+    #[test]
+    fn spans_of_the_first_layout_are_as_short_as_they_can_be() {
+        for text in ["[3,7]", "[3,7,9]", "[3,7,7,2]", "[3,7,9,1,4]"] {
+            let numbers: Vec<u64> = serde_json::from_str(text).unwrap();
+            assert_eq!(write_span(&read_span(&numbers).unwrap()), numbers);
+        }
+        assert!(read_load(json!({"m": {"i-1": [[3]]}})).is_err());
+        assert!(read_load(json!({"m": {"i-1": [[3, 4294967296u64]]}})).is_err());
+    }
+}
--- a/crates/dapplecroft-controller/src/lib.rs
+++ b/crates/dapplecroft-controller/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod core;
 pub mod jobs;
+pub mod legacy;
 mod loops;
 pub mod machines;
 mod node;
--- a/crates/dapplecroft-controller/src/loops.rs
+++ b/crates/dapplecroft-controller/src/loops.rs
@@ -11,8 +11,8 @@
 use tokio::task::JoinSet;
 
 impl Node {
-    /// Sets all loops going and returns only if one of them ends, which none
-    /// does by itself.
+    /// Sets all loops going and returns only if this process must end
+    /// ([`Node::ended`] says why); no loop ends by itself.
     pub async fn run(self: &Arc<Self>) {
         let mut loops = JoinSet::new();
         loops.spawn(self.clone().follow_loop());
@@ -29,6 +29,9 @@
         loops.spawn(self.clone().room_loop());
         let node = self.clone();
         loops.spawn(async move { node.committer.run(node.state.clone()).await });
-        loops.join_next().await;
+        tokio::select! {
+            _ = loops.join_next() => {}
+            () = self.wake_end.notified() => self.kill(),
+        }
     }
 }
--- a/crates/dapplecroft-controller/src/loops/election.rs
+++ b/crates/dapplecroft-controller/src/loops/election.rs
@@ -1,5 +1,6 @@
 //! Liveness, the election of the leader, and the leases of blocks.
 
+use crate::core::Core;
 use crate::node::{Node, lock, now};
 use crate::records::{self, LeaderRecord, LiveRecord};
 use dapplecroft_net::Outcome;
@@ -43,6 +44,7 @@
         loop {
             if self.with(|core| core.loaded) {
                 self.stand(&mut random).await;
+                self.settle_layout().await;
                 self.take_up().await;
                 self.lease_blocks().await;
             }
@@ -61,7 +63,12 @@
             Outcome::Done(true) => {
                 *lock(&self.touched) = Some(sent);
                 self.set_rates();
-                true
+                // A late write of an earlier process of this node may have taken
+                // the place of this one's entry.
+                let own = self.with(|core| {
+                    core.live.get(&self.settings.host_name).is_some_and(|l| l.identity == core.identity)
+                });
+                own || self.announce(lease).await
             }
             Outcome::Done(false) => {
                 tracing::info!("lease ended");
@@ -92,30 +99,56 @@
             let _ = self.state.revoke(lease).await;
         }
         let Outcome::Done(lease) = self.state.grant(self.options.node_lease).await else { return false };
-        let record = LiveRecord { identity: self.with(|core| core.identity.clone()), lease };
-        let key = records::live_key(host);
+        if self.announce(lease).await {
+            return true;
+        }
+        let _ = self.state.revoke(lease).await;
+        false
+    }
+
+    /// Writes this process's entry on its lease.
+    async fn announce(&self, lease: u64) -> bool {
+        let identity = self.with(|core| core.identity.clone());
+        let record = LiveRecord { identity, lease, layout: records::LAYOUT };
+        let key = records::live_key(&self.settings.host_name);
         let change = Change::Set { key, value: value(&record), lease: Some(lease) };
         let transaction = Transaction { conditions: Vec::new(), changes: vec![change] };
-        match self.state.transact(&transaction, true).await {
-            Outcome::Done(Verdicts::Committed(revision)) => {
-                *lock(&self.touched) = Some(now());
-                self.with(|core| {
-                    core.role.lease = Some(lease);
-                    core.apply_changes(&transaction.changes, revision, now());
-                });
-                self.wake_role.notify_one();
-                true
-            }
-            _ => {
-                let _ = self.state.revoke(lease).await;
-                false
+        let outcome = self.state.transact(&transaction, true).await;
+        let Outcome::Done(Verdicts::Committed(revision)) = outcome else { return false };
+        *lock(&self.touched) = Some(now());
+        self.with(|core| {
+            core.role.lease = Some(lease);
+            core.apply_changes(&transaction.changes, revision, now());
+        });
+        self.wake_role.notify_one();
+        true
+    }
+
+    /// Leaves this process's mark that it knows the new layout and, as leader,
+    /// makes the switch to it once all members have left theirs.
+    async fn settle_layout(&self) {
+        for step in [Core::mark_transaction, Core::switch_transaction] {
+            let ready = |core: &mut Core| core.role.lease.and_then(|_| step(core));
+            let Some(transaction) = self.with(ready) else { continue };
+            match self.state.transact(&transaction, true).await {
+                Outcome::Done(Verdicts::Committed(revision)) => {
+                    self.with(|core| core.apply_changes(&transaction.changes, revision, now()));
+                    self.set_rates();
+                }
+                Outcome::Done(Verdicts::Conflict(failed)) => {
+                    for key in failed {
+                        self.refresh(&key, || true).await;
+                    }
+                }
+                // If it is carried out all the same, the records say so.
+                Outcome::Refused(_) | Outcome::Unknown(_) => {}
             }
         }
     }
 
     /// Stands for election if there is no leader.
     async fn stand(&self, random: &mut StdRng) {
-        let vacant = |core: &mut crate::core::Core| {
+        let vacant = |core: &mut Core| {
             (core.leader.is_none() && core.role.lease.is_some()).then_some(core.role.lease).flatten()
         };
         let own = self.with(|core| {
@@ -211,7 +244,7 @@
     async fn confirm(&self) {
         let conditions = self.with(|core| core.role_conditions());
         let sent: Instant = now();
-        let most = 4 * self.settings.params.state.txn_ops;
+        let most = 4 * self.with(|core| core.limits().changes);
         let mut confirmed = None;
         for part in conditions.chunks(most) {
             let transaction = Transaction { conditions: part.to_vec(), changes: Vec::new() };
@@ -240,9 +273,13 @@
     /// Placements go with the blocks; all nodes write what users ask of them.
     pub(crate) fn set_rates(&self) {
         let params = &self.settings.params;
-        let share = self.with(|core| core.write_share());
-        let rps = params.state.rps / f64::from(params.nodes.max(1));
-        self.state.set_rates(rps, (params.state.write_rps * share * 0.94).max(2.0));
+        let (share, mixed, limits) = self.with(|core| (core.write_share(), core.is_mixed(), core.limits()));
+        self.committer.set_max_changes(limits.changes);
+        // The next limits come without notice: the first refusal tells of them.
+        self.state.expect_less(!mixed && params.state.next.is_some());
+        let (rps, writes) = params.state.rates(self.state.has_less());
+        let rps = rps / f64::from(params.nodes.max(1));
+        self.state.set_rates(rps, (writes * share * 0.94).max(2.0));
     }
 
     /// Watches whether this node has lost the state service, and whether it is
--- a/crates/dapplecroft-controller/src/loops/fleet.rs
+++ b/crates/dapplecroft-controller/src/loops/fleet.rs
@@ -2,12 +2,10 @@
 
 use crate::core::{GroupUnit, MAX_CONSULTED};
 use crate::node::{Node, now};
-use crate::records;
 use dapplecroft_cloud::{MAX_RELEASE, Rented};
 use dapplecroft_net::Outcome;
-use dapplecroft_state::{Unit, UnitResult};
+use dapplecroft_state::UnitResult;
 use dapplecroft_wire::cloud::{Catalog, RentRequest};
-use dapplecroft_wire::state::{Change, Condition};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -204,25 +202,21 @@
             Outcome::Done(catalog) if !catalog.hulls.is_empty() => catalog,
             _ => return false,
         };
-        let value = serde_json::to_value(&catalog).unwrap_or_default();
-        let (behind, version) =
-            self.with(|core| (core.take_catalog(catalog), core.version(records::CATALOG)));
-        if !behind {
-            return true;
-        }
         // Kept so that a restart during an outage of the cloud still knows.
-        let key = records::CATALOG.to_string();
-        let unit = Unit {
-            conditions: vec![Condition { key: key.clone(), version }],
-            changes: vec![Change::Set { key, value, lease: None }],
-        };
-        match self.committer.commit(unit.clone()).await {
-            UnitResult::Committed(revision) => {
-                self.with(|core| core.apply_changes(&unit.changes, revision, now()));
-                true
+        let units = self.with(|core| {
+            let behind = core.take_catalog(catalog.clone());
+            if behind { core.catalog_units(&catalog) } else { Vec::new() }
+        });
+        let mut all = true;
+        for unit in units {
+            match self.committer.commit(unit.clone()).await {
+                UnitResult::Committed(revision) => {
+                    self.with(|core| core.apply_changes(&unit.changes, revision, now()));
+                }
+                UnitResult::Conflict(_) => {}
+                UnitResult::Refused(_) | UnitResult::Unknown(_) => all = false,
             }
-            UnitResult::Conflict(_) => true,
-            UnitResult::Refused(_) | UnitResult::Unknown(_) => false,
         }
+        all
     }
 }
--- a/crates/dapplecroft-controller/src/loops/follow.rs
+++ b/crates/dapplecroft-controller/src/loops/follow.rs
@@ -80,8 +80,8 @@
     /// Answers questions about versions, all that wait in one transaction that
     /// only compares.
     pub(crate) async fn question_loop(self: Arc<Self>) {
-        let most = 4 * self.settings.params.state.txn_ops;
         loop {
+            let most = 4 * self.with(|core| core.limits().changes);
             let batch: Vec<Question> = {
                 let mut questions = lock(&self.questions);
                 questions.retain(|q| !q.reply.is_closed());
--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -114,8 +114,10 @@
                     break;
                 }
                 UnitResult::Refused(error) if error.starts_with("status 400") => {
-                    tracing::error!(error, subject = ?unit.subject, "the state service refuses a change as malformed");
-                    sleep(Duration::from_secs(5)).await;
+                    // It was not made and, being too large, never will be as it is:
+                    // what is in it is put together anew.
+                    tracing::warn!(error, subject = ?unit.subject, "the state service refuses a change for good");
+                    sleep(Duration::from_secs(1)).await;
                     break;
                 }
                 UnitResult::Refused(error) | UnitResult::Unknown(error) => {
--- a/crates/dapplecroft-controller/src/node.rs
+++ b/crates/dapplecroft-controller/src/node.rs
@@ -102,6 +102,7 @@
     pub(crate) wake_role: Notify,
     pub(crate) wake_beat: Notify,
     pub(crate) wake_fleet: Notify,
+    pub(crate) wake_end: Notify,
     pub(crate) to_command: Mutex<BTreeSet<Arc<str>>>,
     pub(crate) requests: AtomicUsize,
     /// The peer that answers users for this node, while this node alone is out
@@ -163,6 +164,7 @@
             wake_role: Notify::new(),
             wake_beat: Notify::new(),
             wake_fleet: Notify::new(),
+            wake_end: Notify::new(),
             to_command: Mutex::default(),
             requests: AtomicUsize::new(0),
             helper: Mutex::default(),
@@ -198,6 +200,9 @@
         if wakes.fleet {
             self.wake_fleet.notify_one();
         }
+        if wakes.end {
+            self.wake_end.notify_one();
+        }
         if !wakes.command.is_empty() {
             lock(&self.to_command).extend(wakes.command);
             self.wake_command.notify_one();
@@ -216,6 +221,11 @@
         tasks.spawn(work);
     }
 
+    /// Why this process must end, if it must.
+    pub fn ended(&self) -> Option<String> {
+        self.with(|core| core.ended.clone())
+    }
+
     /// Ends all work at once, as the end of the process would.
     pub fn kill(&self) {
         lock(&self.tasks).abort_all();
--- a/crates/dapplecroft-controller/src/ranges.rs
+++ b/crates/dapplecroft-controller/src/ranges.rs
@@ -1,11 +1,8 @@
 //! Sets of whole numbers as sorted ranges: jobs have up to 100,000 tasks, most
 //! of them next to each other in whatever state they are.
 
-use serde::{Deserialize, Serialize};
-
 /// A set of whole numbers as sorted inclusive ranges that don't touch.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Ranges(Vec<(u32, u32)>);
 
 impl Ranges {
@@ -26,6 +23,49 @@
         Ranges(set)
     }
 
+    /// A set from inclusive bounds in any order.
+    pub fn from_pieces(pieces: Vec<(u32, u32)>) -> Ranges {
+        Ranges::default().union(&Ranges(pieces.into_iter().filter(|(a, b)| a <= b).collect()))
+    }
+
+    /// Joined across gaps that `over` covers whole: fewer pieces, where what is
+    /// in `over` may as well be in.
+    pub fn bridge(&self, over: &Ranges) -> Ranges {
+        let mut set: Vec<(u32, u32)> = Vec::with_capacity(self.0.len());
+        for &(a, b) in &self.0 {
+            match set.last_mut() {
+                Some((_, last)) if over.covers(*last + 1, a - 1) => *last = b,
+                _ => set.push((a, b)),
+            }
+        }
+        Ranges(set)
+    }
+
+    /// Whether all from `a` to `b` is in it.
+    fn covers(&self, a: u32, b: u32) -> bool {
+        let i = self.0.partition_point(|&(_, end)| end < a);
+        self.0.get(i).is_some_and(|&(x, y)| x <= a && b <= y)
+    }
+
+    /// Cut so that each part takes no more than so many bytes as text.
+    pub fn chunks(&self, bytes: usize) -> Vec<Ranges> {
+        let digits = |n: u32| n.checked_ilog10().unwrap_or(0) as usize + 1;
+        let mut parts: Vec<Vec<(u32, u32)>> = Vec::new();
+        let mut size = bytes;
+        for &(a, b) in &self.0 {
+            let own = digits(a) + digits(b) + 2;
+            if size + own > bytes {
+                parts.push(Vec::new());
+                size = 0;
+            }
+            size += own;
+            if let Some(part) = parts.last_mut() {
+                part.push((a, b));
+            }
+        }
+        parts.into_iter().map(Ranges).collect()
+    }
+
     /// Whether there is nothing in it.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
@@ -170,8 +210,15 @@
                 b.iter().for_each(|n| put.insert(*n));
                 b.iter().for_each(|n| cut.remove(*n));
                 assert_eq!((put, cut), (ra.union(&rb), ra.without(&rb)));
+                let bridged = ra.bridge(&rb);
+                assert_eq!(bridged.without(&rb), ra.without(&rb));
+                assert!(ra.without(&bridged).is_empty() && bridged.pieces().len() <= ra.pieces().len());
             }
             let r = Ranges::ascending(set(x));
+            assert_eq!(Ranges::from_pieces(r.pieces().iter().rev().copied().collect()), r);
+            let chunks = r.chunks(8);
+            assert!(chunks.iter().all(|c| c.pieces().len() <= 2));
+            assert_eq!(chunks.iter().fold(Ranges::default(), |all, c| all.union(c)), r);
             assert_eq!(r.len() as usize, set(x).len());
             assert_eq!(r.first(), set(x).first().copied());
             assert_eq!(r.head(2).iter().collect::<Vec<_>>(), set(x).into_iter().take(2).collect::<Vec<_>>());
--- a/crates/dapplecroft-controller/src/records.rs
+++ b/crates/dapplecroft-controller/src/records.rs
@@ -1,18 +1,33 @@
 //! What the state service holds. Nothing else survives a process.
+//!
+//! This is the second layout. That of the first version is in [`crate::legacy`],
+//! which alone knows how it was written; all other code knows only these types.
 
 use crate::ranges::Ranges;
 use dapplecroft_wire::users::JobSpec;
 use serde::de::Error;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde_json::Value;
 use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::str::FromStr;
 
+/// The newest layout that this program reads and writes.
+pub const LAYOUT: u32 = 2;
 /// Prefix of all keys, so that one watch sees every change.
 pub const PREFIX: &str = "dc/";
 /// The leader's key; its version is the leader's term.
 pub const LEADER: &str = "dc/leader";
-/// The machine types.
+/// The layout that is in force, once every member can read it.
+pub const FORMAT: &str = "dc/format";
+/// The machine types, as the first version wrote them.
 pub const CATALOG: &str = "dc/catalog";
 
+/// A part of the machine types.
+pub fn catalog_key(part: u32) -> String {
+    format!("dc/c/{part}")
+}
+
 /// A block's key.
 pub fn block_key(block: u32) -> String {
     format!("dc/b/{block}")
@@ -28,9 +43,9 @@
     format!("dc/j/{id}")
 }
 
-/// The key of what runs in a block.
-pub fn load_key(block: u32) -> String {
-    format!("dc/p/{block}")
+/// The key of tasks that a job had completed when its record was moved over.
+pub fn fold_key(id: &str, part: u32) -> String {
+    format!("dc/f/{id}/{part}")
 }
 
 /// The key of a group of machines.
@@ -43,25 +58,65 @@
     format!("dc/n/{host}")
 }
 
+/// The key of the layout that a controller was once seen to know.
+pub fn mark_key(host: &str) -> String {
+    format!("dc/v/{host}")
+}
+
+/// A part of what runs in a block: a bounded record of some of its machines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PartId {
+    /// The block.
+    pub block: u32,
+    /// The part; none: the whole block's record, as the first version has it.
+    pub part: Option<u32>,
+}
+
+impl PartId {
+    /// A part of a block.
+    pub fn new(block: u32, part: u32) -> PartId {
+        PartId { block, part: Some(part) }
+    }
+
+    /// A block's one record of the first layout.
+    pub fn whole(block: u32) -> PartId {
+        PartId { block, part: None }
+    }
+
+    /// The key.
+    pub fn key(&self) -> String {
+        match self.part {
+            Some(part) => format!("dc/q/{}/{part}", self.block),
+            None => format!("dc/p/{}", self.block),
+        }
+    }
+}
+
 /// A key, taken apart.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Key<'a> {
     /// The leader.
     Leader,
-    /// The machine types.
-    Catalog,
+    /// The layout in force.
+    Format,
+    /// The machine types, all or (a number) a part.
+    Catalog(Option<u32>),
     /// The drain in a block.
     Drain(u32),
     /// A block.
     Block(u32),
     /// A job.
     Job(&'a str),
-    /// What runs in a block.
-    Load(u32),
+    /// Completed tasks of a job that was moved over.
+    Fold(&'a str, u32),
+    /// What runs in a block, or a part of it.
+    Load(PartId),
     /// A group of machines.
     Group(&'a str),
     /// A controller.
     Live(&'a str),
+    /// The layout that a controller was once seen to know.
+    Mark(&'a str),
 }
 
 impl<'a> Key<'a> {
@@ -69,20 +124,37 @@
     pub fn parse(key: &'a str) -> Option<Key<'a>> {
         Some(match key.strip_prefix(PREFIX)? {
             "leader" => Key::Leader,
-            "catalog" => Key::Catalog,
+            "catalog" => Key::Catalog(None),
+            "format" => Key::Format,
             rest => match rest.split_once('/')? {
                 ("j", id) => Key::Job(id),
                 ("m", name) => Key::Group(name),
                 ("b", block) => Key::Block(block.parse().ok()?),
+                ("c", part) => Key::Catalog(Some(part.parse().ok()?)),
                 ("d", block) => Key::Drain(block.parse().ok()?),
+                ("f", rest) => {
+                    let (id, part) = rest.split_once('/')?;
+                    Key::Fold(id, part.parse().ok()?)
+                }
                 ("n", host) => Key::Live(host),
-                ("p", block) => Key::Load(block.parse().ok()?),
+                ("p", block) => Key::Load(PartId::whole(block.parse().ok()?)),
+                ("q", rest) => {
+                    let (block, part) = rest.split_once('/')?;
+                    Key::Load(PartId::new(block.parse().ok()?, part.parse().ok()?))
+                }
+                ("v", host) => Key::Mark(host),
                 _ => return None,
             },
         })
     }
 }
 
+/// How many bytes a value takes in the state service at most, however it writes
+/// what is not ASCII.
+pub fn stored_size(value: &Value) -> usize {
+    value.to_string().chars().map(|c| if c.is_ascii() { 1 } else { 6 * c.len_utf16() }).sum()
+}
+
 /// Where a job stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -97,52 +169,77 @@
 
 /// A job. Once it is over and none of its tasks is left on a machine, the
 /// specification is dropped and the rest is kept for ever.
+///
+/// The names of its fields are none of the first version's: a late process of
+/// that version could not read a service as something that it knows.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
     /// Where it stands.
+    #[serde(rename = "s")]
     pub stage: JobStage,
     /// Number of tasks.
+    #[serde(rename = "n")]
     pub tasks: u32,
     /// Tasks that the leader has admitted to each block. Only the holder of
-    /// that block places them.
+    /// that block places them. Completed tasks between them may be named too.
     #[serde(rename = "to", default, skip_serializing_if = "BTreeMap::is_empty")]
     pub admitted: BTreeMap<u32, Ranges>,
-    /// Completed tasks, as far as the leader has noted them here.
-    #[serde(default, skip_serializing_if = "Ranges::is_empty")]
+    /// Completed tasks that a record of the first layout named; in this one
+    /// they have records of their own ([`Key::Fold`]).
+    #[serde(skip)]
     pub folded: Ranges,
     /// Completed tasks, once the job is over.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
     pub done: Option<u32>,
     /// Seconds since 1970 at its submission, by the accepting node's clock.
-    #[serde(default)]
+    #[serde(rename = "at", default)]
     pub at: f64,
     /// The specification.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub spec: Option<JobSpec>,
 }
 
-/// What runs in a block; written by its holder alone. One record for all jobs,
-/// so that what its holder writes follows the machines and the time between two
-/// writes, and not the number of jobs.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+impl JobRecord {
+    /// The compact form of a job that is over.
+    pub fn compact(&self, stage: JobStage, done: u32) -> JobRecord {
+        JobRecord {
+            stage,
+            tasks: self.tasks,
+            admitted: BTreeMap::new(),
+            folded: Ranges::default(),
+            done: Some(done),
+            at: self.at,
+            spec: None,
+        }
+    }
+}
+
+/// Some completed tasks of a job.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FoldRecord {
+    /// Which.
+    #[serde(rename = "d")]
+    pub done: Ranges,
+}
+
+/// What runs on some machines of a block; written by its holder alone. One
+/// record for all jobs, so that what its holder writes follows the machines and
+/// the time between two writes, and not the number of jobs.
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct LoadRecord {
     /// Names of jobs, to which spans refer by position.
-    #[serde(rename = "j", default, skip_serializing_if = "Vec::is_empty")]
     pub jobs: Vec<String>,
-    /// Tasks on each machine.
-    #[serde(rename = "m", default, skip_serializing_if = "BTreeMap::is_empty")]
+    /// Tasks on each machine. One that is named speaks for that machine, also
+    /// with nothing on it, whatever a record of the first layout says.
     pub machines: BTreeMap<String, Vec<Span>>,
-    /// Completed tasks of jobs that are not over, unless their records have them.
-    #[serde(rename = "d", default, skip_serializing_if = "BTreeMap::is_empty")]
+    /// Completed tasks of jobs that are not over. Several records may have them.
     pub done: BTreeMap<String, Ranges>,
-    /// Last attempts of tasks that are neither done nor on a machine.
-    #[serde(rename = "t", default, skip_serializing_if = "BTreeMap::is_empty")]
+    /// Last attempts of tasks that are neither done nor on a machine; of
+    /// several, the highest counts.
     pub tries: BTreeMap<String, BTreeMap<u32, u64>>,
 }
 
-/// Neighbouring tasks of a job on a machine. A list of numbers in the record,
-/// the shorter the more of them have their usual values, since a value has a
-/// limit and a block may have a thousand tasks.
+/// Neighbouring tasks of a job on a machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Span {
     /// The job's position among the record's names.
@@ -157,34 +254,153 @@
     pub session: u64,
 }
 
-impl Serialize for Span {
+/// How a record of what runs is written: `3:7-9*2@4` are the tasks 7 to 9 of
+/// the fourth job, attempt 2, in the worker's session 4; `7*2` is the second
+/// attempt of task 7.
+#[derive(Default, Serialize, Deserialize)]
+struct Written {
+    #[serde(rename = "j", default, skip_serializing_if = "Vec::is_empty")]
+    jobs: Vec<String>,
+    #[serde(rename = "m", default, skip_serializing_if = "BTreeMap::is_empty")]
+    machines: BTreeMap<String, String>,
+    #[serde(rename = "d", default, skip_serializing_if = "BTreeMap::is_empty")]
+    done: BTreeMap<u32, Ranges>,
+    #[serde(rename = "t", default, skip_serializing_if = "BTreeMap::is_empty")]
+    tries: BTreeMap<u32, String>,
+}
+
+impl Span {
+    fn write(&self, to: &mut String) {
+        if !to.is_empty() {
+            to.push(' ');
+        }
+        let _ = write!(to, "{}:{}", self.job, self.first);
+        if self.last != self.first {
+            let _ = write!(to, "-{}", self.last);
+        }
+        if self.attempt != 1 {
+            let _ = write!(to, "*{}", self.attempt);
+        }
+        if self.session != 1 {
+            let _ = write!(to, "@{}", self.session);
+        }
+    }
+
+    fn read(text: &str) -> Option<Span> {
+        let (text, session) = suffix(text, '@')?;
+        let (text, attempt) = suffix(text, '*')?;
+        let (job, tasks) = text.split_once(':')?;
+        let (first, last) = tasks.split_once('-').unwrap_or((tasks, tasks));
+        let span = Span {
+            job: job.parse().ok()?,
+            first: first.parse().ok()?,
+            last: last.parse().ok()?,
+            attempt,
+            session,
+        };
+        (span.first <= span.last).then_some(span)
+    }
+}
+
+/// A number behind a mark, 1 if there is none, and what is before it.
+fn suffix(text: &str, mark: char) -> Option<(&str, u64)> {
+    match text.split_once(mark) {
+        Some((before, number)) => Some((before, number.parse().ok()?)),
+        None => Some((text, 1)),
+    }
+}
+
+fn words<T>(text: &str, mark: char, read: impl Fn(&str) -> Option<T>) -> Option<Vec<T>> {
+    text.split(mark).filter(|w| !w.is_empty()).map(read).collect()
+}
+
+impl Serialize for LoadRecord {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        let all =
-            [u64::from(self.job), u64::from(self.first), u64::from(self.last), self.attempt, self.session];
-        let length = match (self.last == self.first, self.attempt, self.session) {
-            (_, _, session) if session != 1 => 5,
-            (_, attempt, _) if attempt != 1 => 4,
-            (false, _, _) => 3,
-            _ => 2,
+        let mut jobs = self.jobs.clone();
+        let mut known: BTreeMap<String, u32> =
+            jobs.iter().enumerate().map(|(n, id)| (id.clone(), n as u32)).collect();
+        // What only has completed tasks or attempts is named behind the others.
+        let mut position = |id: &String| {
+            *known.entry(id.clone()).or_insert_with(|| {
+                jobs.push(id.clone());
+                jobs.len() as u32 - 1
+            })
         };
-        serializer.collect_seq(&all[..length])
+        let done = self.done.iter().map(|(id, done)| (position(id), done.clone())).collect();
+        let mut tries = BTreeMap::new();
+        for (id, own) in &self.tries {
+            let mut text = String::new();
+            for (index, attempt) in own {
+                let _ = write!(text, "{}{index}*{attempt}", if text.is_empty() { "" } else { "," });
+            }
+            tries.insert(position(id), text);
+        }
+        let mut machines = BTreeMap::new();
+        for (machine, spans) in &self.machines {
+            let mut text = String::new();
+            spans.iter().for_each(|s| s.write(&mut text));
+            machines.insert(machine.clone(), text);
+        }
+        Written { jobs, machines, done, tries }.serialize(serializer)
     }
 }
 
-impl<'de> Deserialize<'de> for Span {
+impl<'de> Deserialize<'de> for LoadRecord {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let all = Vec::<u64>::deserialize(deserializer)?;
-        let small = |n: u64| u32::try_from(n).map_err(|_| D::Error::custom("a position beyond all"));
-        let (Some(job), Some(first)) = (all.first(), all.get(1)) else {
-            return Err(D::Error::custom("neither job nor task"));
+        let written = Written::deserialize(deserializer)?;
+        let mut record = LoadRecord { jobs: written.jobs, ..LoadRecord::default() };
+        let name = |n: u32| {
+            record.jobs.get(n as usize).cloned().ok_or_else(|| D::Error::custom("a job without a name"))
         };
-        Ok(Span {
-            job: small(*job)?,
-            first: small(*first)?,
-            last: small(*all.get(2).unwrap_or(first))?,
-            attempt: all.get(3).copied().unwrap_or(1),
-            session: all.get(4).copied().unwrap_or(1),
-        })
+        for (n, done) in written.done {
+            record.done.insert(name(n)?, done);
+        }
+        for (n, text) in written.tries {
+            let read = |w: &str| Some((w.split_once('*')?.0.parse().ok()?, suffix(w, '*')?.1));
+            let tries = words(&text, ',', read).ok_or_else(|| D::Error::custom("unreadable attempts"))?;
+            record.tries.insert(name(n)?, tries.into_iter().collect());
+        }
+        for (machine, text) in written.machines {
+            let spans = words(&text, ' ', Span::read).ok_or_else(|| D::Error::custom("unreadable tasks"))?;
+            if spans.iter().any(|s| s.job as usize >= record.jobs.len()) {
+                return Err(D::Error::custom("a task of a job without a name"));
+            }
+            record.machines.insert(machine, spans);
+        }
+        Ok(record)
+    }
+}
+
+impl Serialize for Ranges {
+    /// `0-3,7`.
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut text = String::new();
+        for (a, b) in self.pieces() {
+            let _ = write!(text, "{}{a}", if text.is_empty() { "" } else { "," });
+            if a != b {
+                let _ = write!(text, "-{b}");
+            }
+        }
+        serializer.serialize_str(&text)
+    }
+}
+
+impl FromStr for Ranges {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Ranges, &'static str> {
+        let read = |w: &str| {
+            let (a, b) = w.split_once('-').unwrap_or((w, w));
+            let (a, b) = (a.parse::<u32>().ok()?, b.parse::<u32>().ok()?);
+            (a <= b).then_some((a, b))
+        };
+        words(text, ',', read).map(Ranges::from_pieces).ok_or("unreadable numbers")
+    }
+}
+
+impl<'de> Deserialize<'de> for Ranges {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        String::deserialize(deserializer)?.parse().map_err(D::Error::custom)
     }
 }
 
@@ -204,6 +420,20 @@
     pub identity: String,
     /// The lease on which its keys hang.
     pub lease: u64,
+    /// The newest layout that it knows; the first version does not say.
+    #[serde(default = "first_layout")]
+    pub layout: u32,
+}
+
+fn first_layout() -> u32 {
+    1
+}
+
+/// The layout in force, or known to a controller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LayoutRecord {
+    /// Its number.
+    pub layout: u32,
 }
 
 /// A block of machines, leased by the leader to a holder.
@@ -222,11 +452,11 @@
 /// machine leaves it only once its release was answered: that is the proof, for
 /// every controller, that nothing runs there any more.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "WrittenGroup", into = "WrittenGroup")]
 pub struct GroupRecord {
     /// The block that the machines belong to, for good.
     pub block: u32,
     /// Their type.
-    #[serde(rename = "type")]
     pub machine_type: String,
     /// Their zone.
     pub zone: String,
@@ -237,16 +467,106 @@
 }
 
 /// A machine of a group.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct MemberRecord {
     /// Where its worker listens, once it has reported.
-    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
     pub address: Option<String>,
     /// Whether the block's holder has given it up: the leader releases it.
-    #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
     pub given_up: bool,
 }
 
+/// How a group is written: each machine with its address, and the names of
+/// those that are given up.
+#[derive(Clone, Serialize, Deserialize)]
+struct WrittenGroup {
+    #[serde(rename = "b")]
+    block: u32,
+    #[serde(rename = "t")]
+    machine_type: String,
+    #[serde(rename = "z")]
+    zone: String,
+    #[serde(rename = "s")]
+    spot: bool,
+    #[serde(rename = "m")]
+    machines: BTreeMap<String, String>,
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    given_up: Vec<String>,
+}
+
+impl From<WrittenGroup> for GroupRecord {
+    fn from(w: WrittenGroup) -> Self {
+        let member = |id: &String, address: String| MemberRecord {
+            address: (!address.is_empty()).then_some(address),
+            given_up: w.given_up.contains(id),
+        };
+        let machines = w.machines.into_iter().map(|(id, a)| {
+            let member = member(&id, a);
+            (id, member)
+        });
+        GroupRecord {
+            block: w.block,
+            machine_type: w.machine_type,
+            zone: w.zone,
+            spot: w.spot,
+            machines: machines.collect(),
+        }
+    }
+}
+
+impl From<GroupRecord> for WrittenGroup {
+    fn from(g: GroupRecord) -> Self {
+        WrittenGroup {
+            block: g.block,
+            machine_type: g.machine_type,
+            zone: g.zone,
+            spot: g.spot,
+            given_up: g.machines.iter().filter(|(_, m)| m.given_up).map(|(id, _)| id.clone()).collect(),
+            machines: g.machines.into_iter().map(|(id, m)| (id, m.address.unwrap_or_default())).collect(),
+        }
+    }
+}
+
+/// Bytes that an address may take in a group's record: an IPv4 address with its
+/// port, in quotes.
+const ADDRESS: usize = 24;
+
+impl GroupRecord {
+    /// The most bytes that the record may come to take while its machines come
+    /// up and are given up; unlike their number, that must not outgrow a value.
+    pub fn most_bytes(&self) -> usize {
+        let head = 60 + self.machine_type.len() * 6 + self.zone.len() * 6;
+        let each = |(id, m): (&String, &MemberRecord)| {
+            2 * (id.len() + 3) + 1 + m.address.as_ref().map_or(ADDRESS, |a| a.len().max(ADDRESS))
+        };
+        head + self.machines.iter().map(each).sum::<usize>()
+    }
+
+    /// Bytes that the record takes with all addresses and none given up.
+    pub fn bytes(&self) -> usize {
+        let address = |m: &MemberRecord| m.address.as_ref().map_or(ADDRESS, |a| a.len() + 2);
+        let machines = self.machines.iter().map(|(id, m)| id.len() + 4 + address(m));
+        60 + self.machine_type.len() * 6 + self.zone.len() * 6 + machines.sum::<usize>()
+    }
+
+    /// The same machines in as many groups as it takes for each to fit a value.
+    pub fn split(self, value: usize) -> Vec<GroupRecord> {
+        let empty = GroupRecord { machines: BTreeMap::new(), ..self.clone() };
+        let mut groups = vec![empty.clone()];
+        for (id, member) in self.machines {
+            let mut with = groups.pop().unwrap_or_else(|| empty.clone());
+            with.machines.insert(id.clone(), member);
+            if with.most_bytes() > value && with.machines.len() > 1 {
+                let member = with.machines.remove(&id).unwrap_or_default();
+                groups.push(with);
+                with = empty.clone();
+                with.machines.insert(id, member);
+            }
+            groups.push(with);
+        }
+        groups
+    }
+}
+
 /// The drain under way.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DrainRecord {
@@ -261,31 +581,82 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use serde_json::json;
 
     #[test]
-    fn spans_are_as_short_as_they_can_be_and_read_back_the_same() {
-        for (text, first, last, attempt, session) in [
-            ("[3,7]", 7, 7, 1, 1),
-            ("[3,7,9]", 7, 9, 1, 1),
-            ("[3,7,7,2]", 7, 7, 2, 1),
-            ("[3,7,9,1,4]", 7, 9, 1, 4),
+    fn what_runs_is_written_compactly_and_read_back_the_same() {
+        let span = |first, last, attempt, session| Span { job: 0, first, last, attempt, session };
+        let mut record = LoadRecord { jobs: vec!["run-1".into()], ..LoadRecord::default() };
+        let spans = vec![span(7, 7, 1, 1), span(8, 9, 2, 1), span(10, 10, 1, 4), span(11, 12, 3, 5)];
+        record.machines.insert("i-1".into(), spans);
+        record.machines.insert("i-2".into(), Vec::new());
+        record.done.insert("run-2".into(), Ranges::ascending([0, 1, 2, 5]));
+        record.tries.insert("run-1".into(), BTreeMap::from([(3, 2), (4, 9)]));
+        record.tries.insert("run-3".into(), BTreeMap::from([(0, 1)]));
+        let value = serde_json::to_value(&record).unwrap();
+        let expected = json!({"j": ["run-1", "run-2", "run-3"],
+            "m": {"i-1": "0:7 0:8-9*2 0:10@4 0:11-12*3@5", "i-2": ""},
+            "d": {"1": "0-2,5"}, "t": {"0": "3*2,4*9", "2": "0*1"}});
+        assert_eq!(value, expected);
+        let read: LoadRecord = serde_json::from_value(value).unwrap();
+        assert_eq!((read.machines, read.done, read.tries), (record.machines, record.done, record.tries));
+        for bad in [
+            json!({"m": {"i-1": "0:1"}}),
+            json!({"j": ["run-1"], "m": {"i-1": "0:9-7"}}),
+            json!({"j": ["run-1"], "m": {"i-1": "0:x"}}),
+            json!({"j": ["run-1"], "d": {"0": "5-2"}}),
+            json!({"j": ["run-1"], "t": {"0": "5"}}),
+            json!({"d": {"0": "5"}}),
         ] {
-            let span = Span { job: 3, first, last, attempt, session };
-            assert_eq!(serde_json::to_string(&span).unwrap(), text);
-            assert_eq!(serde_json::from_str::<Span>(text).unwrap(), span);
+            assert!(serde_json::from_value::<LoadRecord>(bad.clone()).is_err(), "{bad}");
         }
-        assert!(serde_json::from_str::<Span>("[3]").is_err());
-        assert!(serde_json::from_str::<Span>("[3,4294967296]").is_err());
+    }
+
+    #[test]
+    fn groups_are_split_so_that_each_fits_with_all_addresses_and_all_given_up() {
+        let machines: BTreeMap<String, MemberRecord> =
+            (0..200).map(|n| (format!("i-{n:06}"), MemberRecord::default())).collect();
+        let group =
+            GroupRecord { block: 3, machine_type: "m".into(), zone: "z".into(), spot: true, machines };
+        let groups = group.clone().split(2048);
+        assert!(groups.len() < 8);
+        let mut all = BTreeMap::new();
+        for mut group in groups {
+            all.extend(group.machines.clone());
+            for member in group.machines.values_mut() {
+                *member = MemberRecord { address: Some("255.255.255.255:65535".into()), given_up: true };
+            }
+            let value = serde_json::to_value(&group).unwrap();
+            assert!(stored_size(&value) <= 2048);
+            assert_eq!(serde_json::from_value::<GroupRecord>(value).unwrap(), group);
+        }
+        assert_eq!(all, group.machines);
     }
 
     #[test]
     fn keys_are_taken_apart() {
-        assert_eq!(Key::parse(&load_key(3)), Some(Key::Load(3)));
-        assert_eq!(Key::parse(&job_key("run-1")), Some(Key::Job("run-1")));
-        assert_eq!(Key::parse(&block_key(12)), Some(Key::Block(12)));
-        assert_eq!(Key::parse(&drain_key(12)), Some(Key::Drain(12)));
-        assert_eq!(Key::parse(&group_key("dc-7-1")), Some(Key::Group("dc-7-1")));
+        for (key, parsed) in [
+            (PartId::whole(3).key(), Key::Load(PartId::whole(3))),
+            (PartId::new(3, 14).key(), Key::Load(PartId::new(3, 14))),
+            (job_key("run-1"), Key::Job("run-1")),
+            (fold_key("run-1", 2), Key::Fold("run-1", 2)),
+            (block_key(12), Key::Block(12)),
+            (drain_key(12), Key::Drain(12)),
+            (group_key("dc-7-1.2"), Key::Group("dc-7-1.2")),
+            (mark_key("c-0"), Key::Mark("c-0")),
+            (live_key("c-0"), Key::Live("c-0")),
+            (catalog_key(1), Key::Catalog(Some(1))),
+        ] {
+            assert_eq!(Key::parse(&key), Some(parsed));
+        }
         assert_eq!(Key::parse("dc/x/1"), None);
         assert_eq!(Key::parse("dc/b/x"), None);
+        assert_eq!(Key::parse("dc/q/1"), None);
+    }
+
+    #[test]
+    fn a_value_counts_as_large_as_it_may_be_written() {
+        assert_eq!(stored_size(&json!("ab")), 4);
+        assert_eq!(stored_size(&json!("é")), 8);
     }
 }
--- a/crates/dapplecroft-controller/src/users.rs
+++ b/crates/dapplecroft-controller/src/users.rs
@@ -2,7 +2,7 @@
 
 use crate::jobs::{Job, OpenJob};
 use crate::node::{Answered, Node, Question, Reply, lock, now};
-use crate::records::{self, JobRecord, JobStage};
+use crate::records::{self, JobRecord, JobStage, stored_size};
 use bytes::Bytes;
 use dapplecroft_sched::Amounts;
 use dapplecroft_state::{Unit, UnitResult};
@@ -21,6 +21,9 @@
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(4500);
 const READ_TIMEOUT: Duration = Duration::from_millis(1800);
 
+/// Bytes of a value that are kept for what is noted of a job later on.
+const NOTES: usize = 200;
+
 /// Questions waiting for the state service beyond which reads are refused.
 const MAX_QUESTIONS: usize = 1000;
 
@@ -144,6 +147,10 @@
                 };
             }
         }
+        if spec.is_service() && self.with(|core| core.is_mixed()) {
+            // A controller of the first version would take it for something else.
+            return Reply::busy("services are not taken before all controllers know them", 5);
+        }
         let key = records::job_key(&id);
         let at = self.wall_seconds();
         let record = JobRecord {
@@ -155,10 +162,8 @@
             at,
             spec: Some(spec),
         };
-        let Ok(value) = serde_json::to_value(&record) else {
-            return Reply::problem(400, "cannot be stored");
-        };
-        if value.to_string().len() as f64 > self.settings.params.state.value_kb * 1024.0 {
+        let value = self.with(|core| core.job_value(&record));
+        if stored_size(&value) + NOTES > self.settings.params.state.lasting().value {
             return Reply::problem(400, "too long to be stored");
         }
         let unit = Unit {
@@ -189,8 +194,10 @@
             return Judgement::Never("unknown team".into());
         };
         let over = |need: f64, limit: f64| limit > 0.0 && need > limit;
-        if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
-            return Judgement::Never("a task needs more than the team's limit".into());
+        // Tasks run one after the other if need be; replicas must all run.
+        let at_once = if spec.is_service() { f64::from(spec.tasks) } else { 1.0 };
+        if over(spec.cpus * at_once, team.cpus_max) || over(spec.gpus * at_once, team.gpus_max) {
+            return Judgement::Never("needs more than the team's limit".into());
         }
         self.with(|core| {
             let Some(catalog) = &core.catalog else { return Judgement::Unknown };
@@ -223,9 +230,7 @@
             let Some((record, version)) = self.with(|core| core.open_job(id).map(withdrawn)) else {
                 continue;
             };
-            let Ok(value) = serde_json::to_value(&record) else {
-                return Reply::busy("not stored", 1);
-            };
+            let value = self.with(|core| core.job_value(&record));
             let unit = Unit {
                 conditions: vec![Condition { key: key.clone(), version }],
                 changes: vec![Change::Set { key, value, lease: None }],
@@ -257,7 +262,9 @@
     let record = if job.record.admitted.is_empty() && job.placed.is_empty() {
         job.record.compact(JobStage::Withdrawn, done)
     } else {
-        JobRecord { stage: JobStage::Withdrawn, done: Some(done), ..job.record.clone() }
+        // What was admitted where is of no use any more, and may be long.
+        let (admitted, folded) = Default::default();
+        JobRecord { stage: JobStage::Withdrawn, done: Some(done), admitted, folded, ..job.record.clone() }
     };
     (record, job.version)
 }
--- a/crates/dapplecroft-controller/tests/stories/blocks.rs
+++ b/crates/dapplecroft-controller/tests/stories/blocks.rs
@@ -23,7 +23,7 @@
     c.until_running(6).await;
     let holders: BTreeSet<String> = c.holders().into_values().collect();
     assert_eq!(holders.len(), 3, "{holders:?}");
-    let records = c.state.keys("dc/p/");
+    let records = c.state.keys("dc/q/");
     assert!(records.len() >= 6, "{records:?}");
     c.until_stage("run-1", "done").await;
     assert!((0..6).all(|i| c.referee.starts(&format!("run-1/{i}")) == 1));
@@ -139,7 +139,7 @@
     // from its blocks when another has room.
     let leader = c.leader().unwrap();
     let slow = (0..3).find(|n| *n != leader).unwrap();
-    c.net.rule(Rule::all(&host(slow), STATE, Action::Hold).path("/multi").body("dc/p/").times(6));
+    c.net.rule(Rule::all(&host(slow), STATE, Action::Hold).path("/multi").body("dc/q/").times(6));
     c.submit("run-2", "free", 8, 8.0, "normal").await;
     c.until("something is held", || c.net.held() > 0).await;
     pause(30.0).await;
@@ -161,7 +161,7 @@
     let mut names = Vec::new();
     for key in c.state.keys("dc/m/") {
         let record = c.state.value(&key).unwrap();
-        names.extend(record["machines"].as_object().unwrap().keys().cloned());
+        names.extend(record["m"].as_object().unwrap().keys().cloned());
     }
     let unique: BTreeSet<&String> = names.iter().collect();
     assert_eq!(unique.len(), names.len(), "{names:?}");
--- a/crates/dapplecroft-controller/tests/stories/users.rs
+++ b/crates/dapplecroft-controller/tests/stories/users.rs
@@ -7,6 +7,12 @@
 use serde_json::{Value, json};
 use std::time::Duration;
 
+/// Whether the records of what runs have nothing on any machine.
+fn nothing_runs(c: &Cluster) -> bool {
+    let keys = c.state.keys("dc/q/");
+    !keys.is_empty() && keys.iter().all(|k| c.state.value(k).is_none_or(|v| v.get("m").is_none()))
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_job_runs_and_a_submission_repeated_after_its_end_gets_its_end() {
     let c = Cluster::start(4).await;
@@ -20,7 +26,7 @@
     assert!((0..20).all(|i| c.referee.starts(&format!("run-1/{i}")) == 1));
     // What is kept of it is small, and its placements are gone.
     assert!(c.state.value("dc/j/run-1").unwrap().get("spec").is_none());
-    assert!(c.state.value("dc/p/0").unwrap().get("m").is_none());
+    assert!(nothing_runs(&c));
     assert!(c.state.largest() <= 12);
     c.assert_rules_kept();
 }
@@ -43,7 +49,7 @@
     c.withdraw(1, "run-3").await;
     c.until("its record is compact", || c.state.value("dc/j/run-3").is_some_and(|v| v.get("spec").is_none()))
         .await;
-    assert!(c.referee.on().is_empty() && c.state.value("dc/p/0").unwrap().get("m").is_none());
+    assert!(c.referee.on().is_empty() && nothing_runs(&c));
     assert!(c.state.largest() <= 12);
     c.assert_rules_kept();
 }
--- a/crates/dapplecroft-state/src/committer.rs
+++ b/crates/dapplecroft-state/src/committer.rs
@@ -1,10 +1,11 @@
 //! Group commit: units of change that are atomic by themselves are carried in
 //! shared transactions, whose size grows with what has queued up meanwhile.
 
-use crate::{StateClient, Verdicts};
+use crate::{StateClient, TOO_LARGE, Verdicts};
 use dapplecroft_net::Outcome;
 use dapplecroft_wire::state::{Change, Condition, Transaction};
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
@@ -46,6 +47,8 @@
     bytes: usize,
     reply: oneshot::Sender<UnitResult>,
     rank: Rank,
+    /// Whether it goes without others: together they were refused.
+    alone: bool,
 }
 
 /// What goes before what.
@@ -65,7 +68,7 @@
     wake: Notify,
     taken: Notify,
     urgent: Notify,
-    max_changes: usize,
+    max_changes: AtomicUsize,
     bound: usize,
 }
 
@@ -78,11 +81,20 @@
             wake: Notify::new(),
             taken: Notify::new(),
             urgent: Notify::new(),
-            max_changes,
+            max_changes: AtomicUsize::new(max_changes),
             bound,
         }
     }
 
+    /// Changes the most that transactions have from now on.
+    pub fn set_max_changes(&self, most: usize) {
+        self.max_changes.store(most.max(1), Ordering::Relaxed);
+    }
+
+    fn max_changes(&self) -> usize {
+        self.max_changes.load(Ordering::Relaxed)
+    }
+
     /// How many units are waiting.
     pub fn waiting(&self) -> usize {
         self.lock().len()
@@ -95,7 +107,7 @@
 
     /// How many units may wait before it is better to put none together yet.
     pub fn enough(&self) -> usize {
-        (self.max_changes / 4).max(2)
+        (self.max_changes() / 4).max(2)
     }
 
     /// Queues a unit and waits for its result.
@@ -126,7 +138,7 @@
                 self.urgent.notify_one();
             }
             let at = queue.iter().position(|w| w.rank > rank).unwrap_or(queue.len());
-            queue.insert(at, Waiting { unit, bytes, reply, rank });
+            queue.insert(at, Waiting { unit, bytes, reply, rank, alone: false });
         }
         self.wake.notify_one();
         result.await.unwrap_or_else(|_| UnitResult::Unknown("committer ended".into()))
@@ -143,7 +155,7 @@
             // Small groups, often: a large one waits longer, is refused sooner
             // since the service's bursts are shared, and one outdated condition
             // spoils it for more.
-            let most = ((client.write_rate() * GROUP_SECONDS) as usize).clamp(2, self.max_changes);
+            let most = ((client.write_rate() * GROUP_SECONDS) as usize).clamp(2, self.max_changes().max(2));
             let rate = client.write_rate();
             match self.next_rank() {
                 Some(Rank::User) => {}
@@ -230,6 +242,15 @@
                     queue.push_front(waiting);
                 }
             }
+            Outcome::Refused(e) if e.starts_with(TOO_LARGE) && group.len() > 1 => {
+                // Limits may have become smaller. Nothing was made: each goes by
+                // itself, and only what is too large alone is refused.
+                tracing::info!(units = group.len(), error = e, "a transaction is split");
+                let mut queue = self.lock();
+                for waiting in group.into_iter().rev() {
+                    queue.push_front(Waiting { alone: true, ..waiting });
+                }
+            }
             Outcome::Refused(e) => finish(group, |_| UnitResult::Refused(e.clone())),
             Outcome::Unknown(e) => finish(group, |_| UnitResult::Unknown(e.clone())),
         }
@@ -249,12 +270,13 @@
                 });
             let fresh = unit.conditions.iter().filter(|c| !conditions.contains_key(&c.key)).count();
             let full = changes + unit.changes.len() > most
-                || conditions.len() + fresh > 4 * self.max_changes
+                || conditions.len() + fresh > 4 * self.max_changes()
                 || bytes + next.bytes > MAX_BYTES;
             // What can't wait goes without the others.
             let other = group.first().is_some_and(|w| w.rank != next.rank);
             // A unit that is too large by itself still goes, and is refused there.
-            if !group.is_empty() && (clash || full || other) {
+            let alone = next.alone || group.first().is_some_and(|w| w.alone);
+            if !group.is_empty() && (clash || full || other || alone) {
                 break;
             }
             changes += unit.changes.len();
--- a/crates/dapplecroft-state/src/lib.rs
+++ b/crates/dapplecroft-state/src/lib.rs
@@ -9,6 +9,7 @@
 use http::Method;
 use serde::de::DeserializeOwned;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// How long ordinary requests wait for an answer.
@@ -16,6 +17,11 @@
 
 /// What is told of a request that an outage kept from being executed.
 const OUTAGE: &str = "status 503";
+/// The same of one beyond the rates.
+const RATE: &str = "status 429";
+
+/// What is told of a transaction that the service does not take as it is.
+pub(crate) const TOO_LARGE: &str = "status 400";
 
 /// What a transaction that was carried out came to.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -41,12 +47,41 @@
     address: String,
     requests: Budget,
     writes: Budget,
+    /// Whether the limits may become smaller without notice.
+    expecting: AtomicBool,
+    /// Whether a refusal has told that they have.
+    less: AtomicBool,
 }
 
 impl StateClient {
     /// A client with its own part of the service's limits.
     pub fn new(transport: Arc<dyn Transport>, address: String, rps: f64, write_rps: f64) -> Self {
-        StateClient { transport, address, requests: Budget::new(rps), writes: Budget::new(write_rps) }
+        StateClient {
+            transport,
+            address,
+            requests: Budget::new(rps),
+            writes: Budget::new(write_rps),
+            expecting: AtomicBool::new(false),
+            less: AtomicBool::new(false),
+        }
+    }
+
+    /// Whether refusals are to be taken as the sign that limits have become
+    /// smaller.
+    pub fn expect_less(&self, expecting: bool) {
+        self.expecting.store(expecting, Ordering::Relaxed);
+    }
+
+    /// Whether a refusal has told that limits have become smaller.
+    pub fn has_less(&self) -> bool {
+        self.less.load(Ordering::Relaxed)
+    }
+
+    fn refused_changes(&self, error: &str) {
+        let telling = error == RATE || (error.starts_with(TOO_LARGE) && !error.contains("lease"));
+        if telling && self.expecting.load(Ordering::Relaxed) && !self.less.swap(true, Ordering::Relaxed) {
+            tracing::info!(error, "the state service takes less from now on");
+        }
     }
 
     /// Changes this node's part of the limits.
@@ -96,7 +131,7 @@
         match self.transport.send(request).await {
             // 429 and 503 say that the request was not executed.
             Ok(r) if r.status == 503 => Outcome::Refused(OUTAGE.into()),
-            Ok(r) if r.status == 429 => Outcome::Refused("status 429".into()),
+            Ok(r) if r.status == 429 => Outcome::Refused(RATE.into()),
             Ok(r) => Outcome::Done(r),
             Err(Failure::NotSent(e)) => Outcome::Refused(e),
             Err(Failure::Unknown(e)) => Outcome::Unknown(e),
@@ -167,14 +202,20 @@
             // a debt, and all that has gathered would wait for it afterwards.
             self.writes.give_back(writes);
         }
+        let outcome = match outcome {
+            Outcome::Done(r) if r.status == 400 => {
+                Outcome::Refused(format!("{TOO_LARGE}: {}", String::from_utf8_lossy(&r.body)))
+            }
+            other => other,
+        };
+        if let (Outcome::Refused(error), true) = (&outcome, writes > 0.0) {
+            self.refused_changes(error);
+        }
         match outcome {
             Outcome::Done(r) if r.status == 200 => {
                 read::<Verdict>(&r).map(|v| Verdicts::Committed(v.revision))
             }
             Outcome::Done(r) if r.status == 409 => parse::<Verdict>(&r).map(|v| Verdicts::Conflict(v.failed)),
-            Outcome::Done(r) if r.status == 400 => {
-                Outcome::Refused(format!("status 400: {}", String::from_utf8_lossy(&r.body)))
-            }
             Outcome::Done(r) => Outcome::Unknown(format!("status {}", r.status)),
             Outcome::Refused(e) => Outcome::Refused(e),
             Outcome::Unknown(e) => Outcome::Unknown(e),
--- a/crates/dapplecroft-wire/src/settings.rs
+++ b/crates/dapplecroft-wire/src/settings.rs
@@ -97,6 +97,9 @@
     /// The time it allows.
     #[serde(default)]
     pub within_s: Option<f64>,
+    /// For `up`: the time that a replica has to come up.
+    #[serde(default)]
+    pub after_s: Option<f64>,
 }
 
 /// The workers' timing, in seconds.
@@ -121,6 +124,61 @@
     pub value_kb: f64,
     /// Most changes of a transaction.
     pub txn_ops: usize,
+    /// What it will be some day, without notice; what is not named stays.
+    #[serde(default)]
+    pub next: Option<NextState>,
+}
+
+/// Limits that the state service will have from some moment on.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+pub struct NextState {
+    /// Requests per second.
+    #[serde(default)]
+    pub rps: Option<f64>,
+    /// Puts and deletes per second.
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    /// Largest value.
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    /// Most changes of a transaction.
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+/// Sizes that the state service takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SizeLimits {
+    /// Bytes of a value.
+    pub value: usize,
+    /// Changes of a transaction; conditions are four times as many.
+    pub changes: usize,
+}
+
+impl StateParams {
+    /// What it takes now.
+    pub fn present(&self) -> SizeLimits {
+        SizeLimits { value: (self.value_kb * 1024.0) as usize, changes: self.txn_ops }
+    }
+
+    /// What it takes now and will take later on: the smaller of both.
+    pub fn lasting(&self) -> SizeLimits {
+        let (now, next) = (self.present(), self.next.clone().unwrap_or_default());
+        let value = next.value_kb.map_or(now.value, |kb| (kb * 1024.0) as usize);
+        SizeLimits {
+            value: value.min(now.value),
+            changes: next.txn_ops.unwrap_or(now.changes).min(now.changes),
+        }
+    }
+
+    /// Requests and changes a second, now and (`next`) some day.
+    pub fn rates(&self, next: bool) -> (f64, f64) {
+        let later = self.next.clone().filter(|_| next).unwrap_or_default();
+        (
+            later.rps.map_or(self.rps, |r| r.min(self.rps)),
+            later.write_rps.map_or(self.write_rps, |r| r.min(self.write_rps)),
+        )
+    }
 }
 
 /// What this process may use of its machine.
@@ -147,6 +205,12 @@
     pub list_lag_s: f64,
 }
 
+/// The least that a value must hold: the longest description of a job that is
+/// still taken, with room for what is noted of it.
+const MIN_VALUE_KB: f64 = 1.0;
+/// The least number of changes that a transaction must take.
+const MIN_CHANGES: f64 = 2.0;
+
 /// Time by which a holder stops before workers' leases would reach past a
 /// cancellation's limit: the drift of two steady clocks over the limit, the
 /// state service's tolerance and a generous step of a starved process.
@@ -190,6 +254,19 @@
         if p.state.txn_ops < 4 {
             return Err("facts.state.txn_ops: must be at least 4".into());
         }
+        let next = p.state.next.clone().unwrap_or_default();
+        for (name, value, least) in [
+            ("facts.state.next.rps", next.rps, 1.0),
+            ("facts.state.next.write_rps", next.write_rps, 1.0),
+            ("facts.state.next.value_kb", next.value_kb, MIN_VALUE_KB),
+            ("facts.state.next.txn_ops", next.txn_ops.map(|n| n as f64), MIN_CHANGES),
+        ] {
+            if let Some(value) = value
+                && !(value.is_finite() && value >= least && value < 1e9)
+            {
+                return Err(format!("{name}: must be at least {least}, is {value}"));
+            }
+        }
         if self.contact_limit() < Duration::from_secs(1) {
             return Err("facts.workers.cancel_s: leaves no time beyond lease_s".into());
         }
@@ -225,6 +302,11 @@
         Duration::from_secs_f64(self.params.workers.report_s)
     }
 
+    /// Whether the users' aims name services that have to be up.
+    pub fn expects_services(&self) -> bool {
+        self.params.objectives.iter().any(|o| o.kind == "up")
+    }
+
     /// The strictest time within which jobs of `class` should be finished.
     pub fn finished_within(&self, class: &str) -> Option<f64> {
         let aims = self.params.objectives.iter();
@@ -259,6 +341,31 @@
         assert!(limit < Duration::from_secs(20) && limit > Duration::from_secs(15));
     }
 
+    #[test]
+    fn next_limits_may_be_absent_or_partial_and_only_the_smaller_ones_count() {
+        let limits = |next: Value| {
+            let mut settings = good();
+            settings["facts"]["state"]["next"] = next;
+            Settings::parse(&settings.to_string())
+                .map(|s| (s.params.state.lasting(), s.params.state.rates(true)))
+        };
+        let unchanged = (SizeLimits { value: 8192, changes: 12 }, (100.0, 20.0));
+        assert_eq!(limits(Value::Null), Ok(unchanged));
+        assert_eq!(limits(json!({})), Ok(unchanged));
+        assert_eq!(limits(json!({"value_kb": 64.0, "txn_ops": 99, "write_rps": 50.0})), Ok(unchanged));
+        let smaller = (SizeLimits { value: 2048, changes: 4 }, (100.0, 18.0));
+        assert_eq!(limits(json!({"value_kb": 2.0, "txn_ops": 4, "write_rps": 18.0, "new": 1})), Ok(smaller));
+        for (field, value) in [
+            ("value_kb", json!(0)),
+            ("value_kb", json!(0.5)),
+            ("txn_ops", json!(1)),
+            ("write_rps", json!(-3.0)),
+        ] {
+            let error = limits(json!({field: value})).unwrap_err();
+            assert!(error.starts_with(&format!("facts.state.next.{field}")), "{error}");
+        }
+    }
+
     #[test]
     fn a_missing_or_impossible_value_is_named() {
         for (path, value, named) in [
--- a/crates/dapplecroft-wire/src/users.rs
+++ b/crates/dapplecroft-wire/src/users.rs
@@ -28,7 +28,7 @@
     /// The team it counts against.
     #[serde(rename = "crew")]
     pub team: String,
-    /// `sweep`.
+    /// [`SWEEP`] or [`SERVICE`].
     #[serde(rename = "form")]
     pub kind: String,
     /// Priority.
@@ -117,6 +117,11 @@
 /// The most tasks that a job may have.
 pub const MAX_TASKS: u64 = 100_000;
 
+/// The form of jobs whose tasks each run to completion.
+pub const SWEEP: &str = "sweep";
+/// The form of jobs whose tasks, their replicas, run until they are withdrawn.
+pub const SERVICE: &str = "service";
+
 /// Whether `id` has the form that every job id has: `run-` and digits.
 pub fn valid_id(id: &str) -> bool {
     id.strip_prefix("run-")
@@ -124,6 +129,11 @@
 }
 
 impl JobSpec {
+    /// Whether its tasks are replicas that run until the job is withdrawn.
+    pub fn is_service(&self) -> bool {
+        self.kind == SERVICE
+    }
+
     /// Reads a submission and checks every field, so that what is wrong can be
     /// told to the user in a few words.
     pub fn parse(body: &[u8]) -> Result<JobSpec, String> {
@@ -134,7 +144,7 @@
             return Err("id: wrong form".into());
         }
         let kind = text(&fields, "form")?;
-        if kind != "sweep" {
+        if kind != SWEEP && kind != SERVICE {
             return Err("form: unknown".into());
         }
         let priority = serde_json::from_value(Value::String(text(&fields, "rank")?))
@@ -239,6 +249,17 @@
         assert_eq!(again, spec);
     }
 
+    #[test]
+    fn a_service_has_neither_an_end_nor_a_deadline() {
+        let mut body = good();
+        body["form"] = json!("service");
+        body["reckon_s"] = json!(0);
+        body["due_s"] = json!(null);
+        let spec = JobSpec::parse(body.to_string().as_bytes()).unwrap();
+        assert!(spec.is_service() && spec.estimate_s == 0.0 && spec.deadline_s.is_none());
+        assert!(!JobSpec::parse(good().to_string().as_bytes()).unwrap().is_service());
+    }
+
     #[test]
     fn each_bad_field_is_named() {
         for (field, value) in [
@@ -252,6 +273,7 @@
             ("form", json!("gang")),
             ("rank", json!("top")),
             ("reckon_s", json!(null)),
+            ("reckon_s", json!(-1.0)),
             ("due_s", json!(-3)),
             ("loaners", json!("yes")),
             ("hulls", json!("g8")),
--- a/crates/dapplecroft/src/main.rs
+++ b/crates/dapplecroft/src/main.rs
@@ -65,6 +65,8 @@
     Grpc(#[from] tonic::transport::Error),
     #[error("a part of the controller ended")]
     Ended,
+    #[error("{0}")]
+    MustEnd(String),
 }
 
 fn main() -> ExitCode {
@@ -120,5 +122,5 @@
         result = grpc::serve(PeerService(node.clone()), back) => result?,
         () = node.run() => {}
     }
-    Err(Failure::Ended)
+    Err(node.ended().map_or(Failure::Ended, Failure::MustEnd))
 }
