--- a/crates/dapplecroft-controller/src/core/admission.rs
+++ b/crates/dapplecroft-controller/src/core/admission.rs
@@ -205,12 +205,15 @@
                 fit.total = left;
             }
         }
+        let (all, several, service) = (left, fits.len() > 1, job.is_service());
         for fit in fits {
             if left <= 0 {
                 break;
             }
             let own = self.is_holder(fit.block);
             let most = if own { fit.total.min(round.left as i64) } else { fit.total };
+            // The replicas of a service are not all in one block.
+            let most = if service && several { most.min((all + 1) / 2) } else { most };
             let n = left.min(most);
             if n > 0 {
                 if !self.admit_to(id, fit.block, n as u32, round, now) {
@@ -262,6 +265,9 @@
     pub(super) fn measure_blocks(&self, round: &mut Round) {
         for machine in self.machines.values().filter(|m| m.seems_open()) {
             *round.sizes.entry(machine.block).or_default() += machine.capacity.cpus;
+            if !machine.spot {
+                *round.ordinary.entry(machine.block).or_default() += machine.capacity.cpus;
+            }
         }
     }
 
@@ -273,20 +279,23 @@
         let Some(job) = self.open_job(id) else { return };
         let need = job.need.clone();
         let cpus = need.amounts.cpus;
+        let urgent = job.spec.priority < Rank::Normal;
         let limited = job.spec.one_zone || job.spec.spread || need.types.is_some() || need.zone.is_some();
-        if cpus <= 0 || limited || !need.spot || round.ahead_full.is_some_and(|c| cpus >= c) {
+        let service = job.is_service();
+        // What can't run on spot machines is taken ahead only if it is urgent,
+        // since it may have to be made room for.
+        if cpus <= 0 || limited || (!need.spot && !urgent) || round.ahead_full.is_some_and(|c| cpus >= c) {
             return;
         }
         let Some(book) = self.teams.get(&job.spec.team) else { return };
         // What waits in a block is taken from the team's limit: not all of it.
         let unlimited = book.limit.cpus == 0 && book.limit.gpus == 0;
         let left = if unlimited { left } else { left.min(book.headroom(&need.amounts) / 2) };
-        let urgent = job.spec.priority < Rank::Normal;
         let part = if urgent { URGENT_BACKLOG } else { BACKLOG };
-        let best = round
-            .sizes
+        let sizes = if need.spot { &round.sizes } else { &round.ordinary };
+        let best = sizes
             .iter()
-            .filter(|(b, _)| self.is_served(**b) && (round.scarce || !self.is_holder(**b)))
+            .filter(|(b, _)| self.is_served(**b) && (round.scarce || service || !self.is_holder(**b)))
             .map(|(b, size)| {
                 let free = size / part - round.backlog.get(b).copied().unwrap_or(0);
                 (job.record.admitted.contains_key(b), free / cpus, std::cmp::Reverse(*b))
--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -6,7 +6,7 @@
 use super::parts::Scale;
 use crate::jobs::{OpenJob, Placed, TaskId};
 use crate::machines::Machine;
-use crate::records::{self, FoldRecord, JobRecord, JobStage, LoadRecord, PartId, Span};
+use crate::records::{self, FoldRecord, JobRecord, JobStage, LoadRecord, PartId, Span, stored_size};
 use dapplecroft_state::Unit;
 use dapplecroft_wire::state::{Change, Condition};
 use dapplecroft_wire::users::Rank;
@@ -117,9 +117,6 @@
                 Subject::Part(id) => self.part_unit(*id),
                 Subject::Litter(key) => self.litter_unit(key),
             };
-            if let Subject::Part(id) = &subject {
-                self.pending.remove(id);
-            }
             if let Some((unit, proposals)) = unit {
                 self.units += 1;
                 let number = self.units;
@@ -247,8 +244,26 @@
 
     /// The record of what runs in a part, with the ends and proposals of its
     /// holder; and the proposals in it.
+    ///
+    /// A record that was written before limits were as they are can have more on
+    /// one machine than could be cut into pieces within them. Then as many ends
+    /// are taken in at a time as fit; neighbours that have ended join again.
     fn new_load(&self, id: PartId) -> (LoadRecord, Vec<(TaskId, Placed)>) {
+        let mut ends = usize::MAX;
+        loop {
+            let (record, proposals, taken) = self.load_with(id, ends);
+            let size = stored_size(&self.load_value(id, &record));
+            if taken == 0 || size <= self.limits().value {
+                return (record, proposals);
+            }
+            ends = taken / 2;
+        }
+    }
+
+    /// The same with the first so many ends; and how many there were.
+    fn load_with(&self, id: PartId, ends: usize) -> (LoadRecord, Vec<(TaskId, Placed)>, usize) {
         let limits = self.limits();
+        let mut taken = 0;
         let most_jobs = limits.changes * 3;
         let mut record = self.carried(id);
         let mut proposals = Vec::new();
@@ -266,7 +281,9 @@
                     waiting.push((job.rank(), p.since, task.clone(), p.clone()));
                     continue;
                 }
-                match job.exits.get(&task.index).filter(|e| e.attempt == p.attempt) {
+                let exit = job.exits.get(&task.index).filter(|e| e.attempt == p.attempt && taken < ends);
+                taken += usize::from(exit.is_some());
+                match exit {
                     None => add_task(&mut record, &mut names, task, p),
                     Some(_) if !job.is_open() => {}
                     Some(exit) if exit.done => {
@@ -305,7 +322,7 @@
             proposals.push((task, p));
         }
         record.tries.retain(|_, t| !t.is_empty());
-        (record, proposals)
+        (record, proposals, taken)
     }
 
     /// What is to be committed of a part, with what is proposed in it.
@@ -490,6 +507,7 @@
                     self.inherited.remove(id);
                     self.drop_stuck(*id, now);
                 }
+                self.reweigh(*id);
                 self.continue_move(id.block, now);
             }
             Subject::Litter(_) => {}
--- a/crates/dapplecroft-controller/src/core/displace.rs
+++ b/crates/dapplecroft-controller/src/core/displace.rs
@@ -109,10 +109,12 @@
                 slot,
                 need: job.need.clone(),
                 ran,
-                movable: placed.committed && ran <= oldest && job.spec.kind == "sweep",
+                movable: placed.committed && ran <= oldest && !job.is_service(),
                 leaving: placed.stop.is_some(),
                 rank: self.standing(job),
-                beyond_guarantee: self.teams.get(&job.spec.team).is_some_and(|b| b.beyond_guarantee()),
+                // A replica gives way to a higher rank alone.
+                beyond_guarantee: !job.is_service()
+                    && self.teams.get(&job.spec.team).is_some_and(|b| b.beyond_guarantee()),
             };
             residents.push((task.clone(), resident));
         }
@@ -160,8 +162,9 @@
                 // made elsewhere would be filled by others and made again.
                 let mut own: Vec<&mut Host> =
                     hosts.iter_mut().filter(|h| block.is_none_or(|b| b == h.block)).collect();
-                let (tasks, ran) =
-                    make_room(&mut own, &unplaced.need, claim, wanted, left, self.options.preempt_limit);
+                // Replicas serve for long: what they need gives way however old.
+                let limit = if job.is_service() { Duration::MAX } else { self.options.preempt_limit };
+                let (tasks, ran) = make_room(&mut own, &unplaced.need, claim, wanted, left, limit);
                 left -= tasks.len();
                 lost += ran;
                 stopped.extend(tasks);
--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -6,7 +6,7 @@
 use crate::machines::{Fate, Machine};
 use crate::records::{self, GroupRecord, MemberRecord, stored_size};
 use dapplecroft_cloud::MAX_RENT;
-use dapplecroft_sched::{Amounts, Need, Offer, Rooms, plan_rentals};
+use dapplecroft_sched::{Amounts, Need, Offer, Rental, Rooms, plan_rentals};
 use dapplecroft_state::Unit;
 use dapplecroft_wire::cloud::{Catalog, ListedMachine, RentRequest};
 use dapplecroft_wire::state::{Change, Condition};
@@ -199,6 +199,7 @@
         if !self.loaded || !self.has_role() || !self.in_contact(now) {
             return actions;
         }
+        self.move_replicas(now);
         self.gone.retain(|_, at| now.saturating_duration_since(*at) < REMEMBER_GONE);
         let due = self.judge_machines(&mut actions, now);
         self.prove_released(now);
@@ -287,6 +288,50 @@
         needs
     }
 
+    /// Machines on which replicas of services are.
+    fn replica_machines(&self) -> BTreeSet<Arc<str>> {
+        let jobs = self.open.iter().filter_map(|id| self.open_job(id)).filter(|j| j.is_service());
+        jobs.flat_map(|j| j.placed.values().filter(|p| p.committed).map(|p| p.machine.clone())).collect()
+    }
+
+    /// How many ordinary machines are kept up for services: they must start
+    /// within seconds, and no machine boots as quickly.
+    fn standby(&self) -> usize {
+        let expected = self.settings.expects_services() && !self.is_mixed();
+        if expected { self.options.standby_machines } else { 0 }
+    }
+
+    /// The machines that are kept for that: the same ones at every node.
+    fn standby_machines(&self) -> BTreeSet<Arc<str>> {
+        let mut names: Vec<&Arc<str>> = self
+            .machines
+            .values()
+            .filter(|m| !m.spot && m.group.is_some() && m.fate == Fate::Keep && !m.given_up)
+            .map(|m| &m.id)
+            .collect();
+        names.sort_unstable();
+        names.into_iter().take(self.standby()).cloned().collect()
+    }
+
+    /// The kind of machine to rent for services to come, and how many: the one
+    /// that is up soonest and has an image soonest.
+    fn standby_rental(&self, offers: &[Offer]) -> Option<Rental> {
+        let ordinary = |r: &Rooms| if r.spot { 0 } else { r.count };
+        let there: i64 = self.coming().iter().map(ordinary).sum();
+        let missing = (self.standby() as i64 - there).max(0) as u32;
+        let catalog = self.catalog.as_ref()?;
+        let fetch = |name: &str| {
+            let hull = catalog.hulls.iter().find(|h| h.name == name);
+            1.0 / hull.map_or(0.0, |h| h.fetch_gb_per_s).max(0.001)
+        };
+        let ordinary = offers.iter().enumerate().filter(|(_, o)| !o.spot);
+        let best = ordinary.min_by(|(_, a), (_, b)| {
+            let soon = |o: &Offer| o.boot_s + fetch(&o.machine_type);
+            soon(a).total_cmp(&soon(b))
+        });
+        best.filter(|_| missing > 0).map(|(offer, _)| Rental { offer, count: missing })
+    }
+
     /// Decides the fate of each machine of own blocks, and which are to be
     /// probed; returns those that are due to be released.
     fn judge_machines(&mut self, actions: &mut FleetActions, now: Instant) -> BTreeSet<Arc<str>> {
@@ -296,6 +341,8 @@
         let boots: BTreeMap<String, Duration> =
             hulls.map(|h| (h.name.clone(), self.boot_time(&h.name))).collect();
         let idle = self.idle_times();
+        let replicas = self.replica_machines();
+        let standby = self.standby_machines();
         let mut wanted = self.wanted_needs();
         let holdings = &self.role.holdings;
         let own = |m: &Machine| m.group.is_some() && holdings.contains_key(&m.block);
@@ -315,7 +362,10 @@
                 }
             } else {
                 let eager = machine.heard.is_none() && machine.missed_probes == 0 && age > TAKE_UP;
-                let ask = eager || silence > report.mul_f64(1.4);
+                // What serves users is missed soonest: it is asked between reports.
+                let serves = replicas.contains(&machine.id);
+                let (patience, limit) = if serves { (0.6, 0.9) } else { (1.4, 1.9) };
+                let ask = eager || silence > report.mul_f64(patience);
                 if let Some(address) = &machine.address
                     && ask
                     && !machine.probing
@@ -337,7 +387,8 @@
                     machine.fate = Fate::Lost;
                 }
                 actions.quiet += usize::from(silence > report.mul_f64(1.9));
-                if silence > report.mul_f64(1.9) && machine.missed_probes >= 1 && machine.fate != Fate::Lost {
+                if silence > report.mul_f64(limit) && machine.missed_probes >= 1 && machine.fate != Fate::Lost
+                {
                     let address = machine.address.clone().unwrap_or_default();
                     actions.silent.push((machine.id.clone(), address));
                 }
@@ -360,7 +411,7 @@
                         }
                         fits
                     });
-                let unused = idle && !wanted;
+                let unused = idle && !wanted && !standby.contains(&machine.id);
                 if machine.failed_jobs.len() >= 2 {
                     tracing::info!(machine = &*machine.id, "tasks of several jobs failed: quarantined");
                     machine.fate = Fate::Returning;
@@ -462,13 +513,16 @@
     fn rentals(&mut self, actions: &mut FleetActions, now: Instant) {
         let Some(leadership) = self.role.leadership else { return };
         let most = (self.settings.params.cloud.rps.ceil() as usize).max(MIN_RENTING);
-        if self.unplaced.is_empty() || self.fleet.renting.len() >= most {
+        if (self.unplaced.is_empty() && self.standby() == 0) || self.fleet.renting.len() >= most {
             return;
         }
         let thrift = self.options.thrift;
         let offers = self.offers(now);
         let machines = MAX_RENT * (most - self.fleet.renting.len()) as u32;
-        let plan = plan_rentals(&self.unplaced, self.coming(), &offers, thrift, machines);
+        let mut plan = plan_rentals(&self.unplaced, self.coming(), &offers, thrift, machines);
+        if !plan.iter().any(|r| !offers[r.offer].spot) {
+            plan.extend(self.standby_rental(&offers));
+        }
         let mut taken: BTreeMap<u32, usize> = BTreeMap::new();
         for (request, block) in self.fleet.renting.values() {
             *taken.entry(*block).or_default() += request.count as usize;
--- a/crates/dapplecroft-controller/src/core/parts.rs
+++ b/crates/dapplecroft-controller/src/core/parts.rs
@@ -170,7 +170,7 @@
             }
         }
         let most = (self.limits().value as f64 * JOIN) as usize;
-        let own = machine_weight(id);
+        let own = self.weight_of(machine);
         let known = self.part_numbers(block);
         let open = known.iter().copied().find(|n| self.part_weight(&PartId::new(block, *n)) + own <= most);
         let number = open.or_else(|| (0..).find(|n| !known.contains(n)))?;
@@ -180,6 +180,49 @@
         Some(part)
     }
 
+    /// What a machine weighs with all that is on it and proposed for it.
+    fn weight_of(&self, machine: &Machine) -> usize {
+        let mut names: BTreeSet<&str> = BTreeSet::new();
+        let mut sum = machine_weight(&machine.id);
+        for task in &machine.tasks {
+            let Some(p) = self.open_job(&task.job).and_then(|j| j.placed.get(&task.index)) else { continue };
+            sum += task_weight(task.index, p.attempt, p.session);
+            names.insert(&task.job);
+        }
+        sum + names.into_iter().map(name_weight).sum::<usize>()
+    }
+
+    /// Works out anew what is to come in a part besides what its record has.
+    pub(super) fn reweigh(&mut self, id: PartId) {
+        let Some(part) = id.part else { return };
+        let record = self.loads.get(&id).map(|l| &l.record);
+        let mut sum = 0;
+        for machine in self.machines.values().filter(|m| m.block == id.block && m.part == Some(part)) {
+            if !record.is_some_and(|r| r.machines.contains_key(&*machine.id)) {
+                sum += self.weight_of(machine);
+                continue;
+            }
+            for task in &machine.tasks {
+                let Some(p) = self.open_job(&task.job).and_then(|j| j.placed.get(&task.index)) else {
+                    continue;
+                };
+                if !p.committed {
+                    sum += task_weight(task.index, p.attempt, p.session) + name_weight(&task.job) / 4;
+                }
+            }
+        }
+        if let Some(more) = self.inherited.get(&id) {
+            let own =
+                LoadRecord { done: more.done.clone(), tries: more.tries.clone(), ..LoadRecord::default() };
+            sum += weight(&own);
+        }
+        if sum > 0 {
+            self.pending.insert(id, sum);
+        } else {
+            self.pending.remove(&id);
+        }
+    }
+
     /// Numbers of parts that are in use, recorded or not.
     pub(super) fn part_numbers(&self, block: u32) -> BTreeSet<u32> {
         let of = PartId::new(block, 0)..=PartId::new(block, u32::MAX);
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -4,12 +4,12 @@
 use super::Core;
 use crate::jobs::{Job, OpenJob, Placed, TaskId};
 use crate::machines::Machine;
-use dapplecroft_sched::{Amounts, Candidate, Demand, HasImage, Need, TeamBook, best_fit};
+use dapplecroft_sched::{Amounts, Candidate, Demand, HasImage, Need, TeamBook, best_fit_of};
 use dapplecroft_wire::users::Rank;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Most placements of one round, so that a round never holds up reports.
 const MAX_PER_ROUND: usize = 200;
@@ -22,6 +22,9 @@
 /// The same, but for the rank, for what has begun and does not get on.
 const END_WITHIN: f64 = 400.0;
 
+/// Other work has so long to give way to replicas before machines are rented.
+const GIVE_WAY: Duration = Duration::from_secs(2);
+
 /// In which order jobs are served: rank, then those that have waited very long
 /// by age, then work within a guarantee, then how pressing it is, then the
 /// larger tasks, then the jobs with the least left to do, then what is due
@@ -41,6 +44,10 @@
 }
 
 fn pressing(left: f64, estimate: f64) -> Pressing {
+    // A service has neither.
+    if estimate <= 0.0 {
+        return Pressing::InTime;
+    }
     // Estimates are often wrong by a quarter.
     if left < 0.75 * estimate { Pressing::Missed } else { Pressing::InTime }
 }
@@ -59,6 +66,8 @@
     pub full: Vec<(Option<u32>, Arc<Need>)>,
     /// Processors of the machines that are up, by block.
     pub sizes: BTreeMap<u32, i64>,
+    /// The same of the ordinary ones alone.
+    pub ordinary: BTreeMap<u32, i64>,
     /// No other holder takes ahead what needs as many processors.
     pub ahead_full: Option<i64>,
     /// Whether changes of records are scarce.
@@ -101,6 +110,13 @@
         Some(Amounts::new(hull.cpus, hull.gpus, hull.memory_gb))
     }
 
+    /// How quickly machines of a type fetch images, in megabytes a second.
+    fn fetch_rate(&self, machine_type: &str) -> u32 {
+        let hulls = self.catalog.iter().flat_map(|c| &c.hulls);
+        let rate = hulls.filter(|h| h.name == machine_type).map(|h| h.fetch_gb_per_s).next();
+        (rate.unwrap_or(0.0) * 1000.0) as u32
+    }
+
     /// Jobs that lie within their team's guarantee together with the team's
     /// earlier unfinished ones.
     pub(super) fn guaranteed(&self) -> HashMap<Arc<str>, bool> {
@@ -222,7 +238,17 @@
             self.unplaced = unplaced
                 .into_iter()
                 .filter(|u| u.count > 0)
-                .map(|u| Demand { need: (*u.need).clone(), count: u.count })
+                .filter_map(|u| {
+                    let job = self.open_job(&u.job)?;
+                    // Other work gives way to replicas at once; machines are rented
+                    // for them only where none does.
+                    let waits = now.saturating_duration_since(job.served) >= GIVE_WAY;
+                    (!job.is_service() || waits).then(|| Demand {
+                        need: (*u.need).clone(),
+                        count: u.count,
+                        soon: job.is_service(),
+                    })
+                })
                 .collect();
         }
     }
@@ -273,6 +299,7 @@
         let epoch = self.role.holdings.get(&block).map(|h| h.epoch);
         let silence = self.silence();
         let kept = self.drains.get(&block).map(|(d, _)| d).filter(|d| *d.for_job != **id);
+        let service = job.is_service();
         // Where it failed, unless it fails everywhere.
         let avoid = job.failed_on.len() < 2;
         let hints = if epoch.is_none() { self.hinted(block, now) } else { Vec::new() };
@@ -301,6 +328,8 @@
                     booked,
                     image: has_image(machine, need),
                     doubtful: !machine.failed_jobs.is_empty(),
+                    sibling: service && machine.tasks.iter().any(|t| t.job == *id),
+                    fetch: if service { self.fetch_rate(&machine.machine_type) } else { 0 },
                 };
                 (name.clone(), candidate)
             })
@@ -350,6 +379,7 @@
             return;
         }
         let urgent = job.spec.priority < Rank::Normal;
+        let service = job.is_service();
         if let Some((drain, _)) = self.drains.get(&block).cloned() {
             // What a drain moves goes where the drain says, if it still fits.
             for (_, index, _, to) in drain.moves.iter().filter(|(j, _, _, _)| *j == **id) {
@@ -376,7 +406,9 @@
             // With constraints on zones each task may change what the next may do.
             let count = if constrained { 1 } else { waiting.len() as i64 };
             let candidates: Vec<Candidate> = machines.iter().map(|(_, c)| *c).collect();
-            let chosen = best_fit(&candidates, &need.amounts, count);
+            // Replicas of a service go to one machine each while there is a choice.
+            let each = if service { 1 } else { i64::MAX };
+            let chosen = best_fit_of(&candidates, &need.amounts, count, each);
             if chosen.is_empty() {
                 break;
             }
@@ -394,12 +426,16 @@
                 }
             }
             waiting.drain(..used);
-            if !constrained || used == 0 {
+            if !(constrained || service) || used == 0 {
                 break;
             }
         }
         let placed = before - waiting.len();
-        if !waiting.is_empty() && !constrained && self.open_job(id).is_some_and(|j| j.failed_on.is_empty()) {
+        if !waiting.is_empty()
+            && !constrained
+            && !service
+            && self.open_job(id).is_some_and(|j| j.failed_on.is_empty())
+        {
             round.full.push((Some(block), need));
         }
         if placed > 0 {
--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -11,6 +11,12 @@
 /// Most commands in one message, far under the limit of a line.
 const MAX_ORDERS: usize = 200;
 
+/// A replica that ran for so long had started well.
+const STOOD: Duration = Duration::from_secs(30);
+/// Replicas on a machine that the cloud takes back are stopped so long before:
+/// they start elsewhere as soon as that is known.
+const LAST_MOMENT: Duration = Duration::from_secs(3);
+
 /// What a worker's report is answered with.
 #[derive(Debug, Clone, PartialEq)]
 pub enum HelloAnswer {
@@ -220,12 +226,26 @@
     /// reason; `None`: the session, or the machine, is gone.
     fn end(&mut self, task: &TaskId, attempt: u64, why: Option<ExitReason>, id: &str, now: Instant) {
         let Some(Job::Open(job)) = self.jobs.get_mut(&task.job) else { return };
-        let done = why == Some(ExitReason::Done);
+        // A replica is never done: whatever it ended by, it is wanted again.
+        let service = job.is_service();
+        let done = why == Some(ExitReason::Done) && !service;
         let Some(home) = job.placed.get(&task.index).map(|p| p.home) else { return };
         if job.exits.insert(task.index, Exit { attempt, done }).is_some() {
             return;
         }
         match why {
+            Some(ExitReason::Done | ExitReason::Error) if service => {
+                // At once, unless it goes on ending soon after its starts. That
+                // is its own fault, and no machine's.
+                let ran = job.placed.get(&task.index).and_then(|p| p.running);
+                if ran.is_some_and(|at| now.saturating_duration_since(at) >= STOOD) {
+                    job.failed_on.clear();
+                    job.failures = 0;
+                } else {
+                    job.failed(id, now);
+                }
+                tracing::info!(task = %task, machine = id, ?why, failures = job.failures, "a replica ended");
+            }
             Some(ExitReason::Done) => {
                 job.failed_on.clear();
                 job.failures = 0;
@@ -283,7 +303,7 @@
         let left = taken_at.saturating_duration_since(now).as_secs_f64();
         tracing::info!(machine = &**id, left, tasks = machine.tasks.len(), "the cloud takes a machine back");
         for task in machine.tasks.clone() {
-            let Some(job) = self.open_job_mut(&task.job) else { continue };
+            let Some(job) = self.open_job_mut(&task.job).filter(|j| !j.is_service()) else { continue };
             let estimate = job.spec.estimate_s;
             let Some(placed) = job.placed.get_mut(&task.index) else { continue };
             let ran = placed.running.map_or(0.0, |r| now.saturating_duration_since(r).as_secs_f64());
@@ -295,6 +315,21 @@
         self.wakes.fleet = true;
     }
 
+    /// Replicas have no end to reach before their machine goes: they serve as
+    /// long as can be, and move in the last moment. Left alone, their machine
+    /// would have to be missed, and proven gone, first.
+    pub(super) fn move_replicas(&mut self, now: Instant) {
+        let soon = |m: &&Machine| m.taken_at.is_some_and(|at| at <= now + LAST_MOMENT);
+        let held = |m: &&Machine| self.is_holder(m.block);
+        let leaving: Vec<TaskId> =
+            self.machines.values().filter(soon).filter(held).flat_map(|m| m.tasks.iter().cloned()).collect();
+        for task in leaving {
+            if self.open_job(&task.job).is_some_and(|j| j.is_service()) {
+                self.stop(&task, Stop::Notice);
+            }
+        }
+    }
+
     /// The difference between what the records want of a machine and what it
     /// last reported. `clear` is only told in the answer to a report: it is the
     /// one command that must not be overtaken by a repeated start.
--- a/crates/dapplecroft-controller/src/jobs.rs
+++ b/crates/dapplecroft-controller/src/jobs.rs
@@ -296,7 +296,9 @@
         self.failed_on.insert(machine.to_string());
         self.failures += 1;
         if self.failed_on.len() >= 2 {
-            let pause = Duration::from_secs(1u64 << self.failures.min(6));
+            // Replicas are missed while they wait: a shorter pause, as often bounded.
+            let halved = u32::from(self.is_service());
+            let pause = Duration::from_secs(1u64 << (self.failures - halved).min(6));
             self.not_before = Some(now + pause);
         }
     }
--- a/crates/dapplecroft-controller/src/options.rs
+++ b/crates/dapplecroft-controller/src/options.rs
@@ -28,6 +28,9 @@
     /// Machines of a block; unset: as many as the limit of a value lets one
     /// record describe.
     pub block_machines: Option<usize>,
+    /// Ordinary machines that are kept up for services to come, where the aims
+    /// name any.
+    pub standby_machines: usize,
     /// Users' requests worked on at a time; more get 503.
     pub max_requests: usize,
 }
@@ -45,6 +48,7 @@
             idle_return: None,
             thrift: true,
             block_machines: None,
+            standby_machines: 6,
             max_requests: 256,
         }
     }
--- a/crates/dapplecroft-controller/tests/stories/cluster.rs
+++ b/crates/dapplecroft-controller/tests/stories/cluster.rs
@@ -2,7 +2,7 @@
 
 use async_trait::async_trait;
 use dapplecroft_controller::{Node, Options, Parts, PeerService, Peers, Reply};
-use dapplecroft_fakes::{FakeCloud, FakeState, Handler, Net, Referee, WorkerTiming};
+use dapplecroft_fakes::{Action, FakeCloud, FakeState, Handler, Net, Referee, Rule, WorkerTiming};
 use dapplecroft_net::Response;
 use dapplecroft_wire::peer::{ForwardRequest, RoomReply, SightReply};
 use dapplecroft_wire::settings::{Peer, Settings};
@@ -62,8 +62,13 @@
     running: Running,
     loops: Mutex<BTreeMap<String, JoinHandle<()>>>,
     identities: Mutex<u64>,
+    next: Value,
 }
 
+/// What only processes of the new version write: the mark that they know the
+/// second layout. One that can't is to all others like one of the first.
+pub const MARK: &str = "dc/v/";
+
 pub fn host(n: usize) -> String {
     format!("crofter-{n}")
 }
@@ -76,7 +81,7 @@
     SystemTime::UNIX_EPOCH + Duration::from_secs(1_700_000_000)
 }
 
-fn settings(n: usize) -> Settings {
+fn settings(n: usize, next: &Value) -> Settings {
     let peers: Vec<Value> = (0..NODES)
         .filter(|m| *m != n)
         .map(|m| json!({"host_name": host(m), "domain": "z", "endpoint": format!("10.0.0.{}:8081", m + 1)}))
@@ -88,9 +93,16 @@
             "teams": [{"name": "free"}, {"name": "tight", "cpus": 8.0, "cpus_max": 16.0}],
             "objectives": [],
             "workers": {"report_s": 3.0, "lease_s": 27.0, "cancel_s": CANCEL.as_secs_f64()},
-            "state": {"rps": 120.0, "write_rps": 25.0, "value_kb": 8.0, "txn_ops": 12},
+            "state": {"rps": 120.0, "write_rps": 25.0, "value_kb": 8.0, "txn_ops": 12, "next": next},
             "cloud": {"rps": 5.0, "list_lag_s": 6.0}}
     });
+    let mut text = text;
+    if let Some(now) = next["now"].as_object() {
+        // What it takes at first, if that is not the usual.
+        for (name, value) in now {
+            text["facts"]["state"][name] = value.clone();
+        }
+    }
     Settings::parse(&text.to_string()).unwrap()
 }
 
@@ -101,6 +113,43 @@
     }
 
     pub async fn with(capacity: usize, adjust: impl FnOnce(&mut WorkerTiming), options: Options) -> Cluster {
+        Cluster::custom(capacity, adjust, options, Value::Null, |_| {}).await
+    }
+
+    /// Three controllers that all pass for the first version until they are
+    /// upgraded, with a state service that will have smaller limits.
+    pub async fn mixed(capacity: usize, adjust: impl FnOnce(&mut WorkerTiming), options: Options) -> Cluster {
+        let next = json!({"value_kb": 2.0, "txn_ops": 4, "write_rps": 18.0});
+        Cluster::custom(capacity, adjust, options, next, Cluster::hold_back).await
+    }
+
+    /// Makes all controllers pass for the first version.
+    pub fn hold_back(&self) {
+        for n in 0..NODES {
+            self.net.rule(Rule::all(&host(n), STATE, Action::Refuse).path("/multi").body(MARK));
+        }
+    }
+
+    /// A controller's process ends and comes back with the new version.
+    pub async fn upgrade(&self, n: usize, after: f64) {
+        self.kill_node(n);
+        self.net.remove_rules(&host(n), MARK);
+        pause(after).await;
+        self.start_node(n);
+    }
+
+    /// Whether the switch to the second layout is made.
+    pub fn is_switched(&self) -> bool {
+        self.state.value("dc/format").is_some()
+    }
+
+    pub async fn custom(
+        capacity: usize,
+        adjust: impl FnOnce(&mut WorkerTiming),
+        options: Options,
+        next: Value,
+        prepare: impl FnOnce(&Cluster),
+    ) -> Cluster {
         let (net, state, referee) = (Net::new(), FakeState::new(), Referee::new(CANCEL));
         referee.limit("tight", 16.0);
         let nodes: Vec<(String, String)> = (0..NODES).map(|n| (host(n), address(n))).collect();
@@ -124,7 +173,9 @@
             running: Arc::default(),
             loops: Mutex::default(),
             identities: Mutex::default(),
+            next,
         };
+        prepare(&cluster);
         for n in 0..NODES {
             cluster.start_node(n);
         }
@@ -139,7 +190,7 @@
             *identities
         };
         let node = Node::new(Parts {
-            settings: Arc::new(settings(n)),
+            settings: Arc::new(settings(n, &self.next)),
             options: self.options.clone(),
             identity: format!("process-{identity}"),
             transport: self.net.port(&host(n)),
@@ -197,6 +248,27 @@
         panic!("{id} is not accepted");
     }
 
+    /// Submits a service at any node until it is accepted.
+    pub async fn serve(&self, id: &str, team: &str, replicas: u32, cpus: f64) {
+        self.referee.service(id, team, cpus, replicas);
+        let body = service(id, team, replicas, cpus);
+        for attempt in 0..120 {
+            let (status, answer) = self.call(attempt % NODES, Method::POST, "/v2/runs", &body).await;
+            if status == 201 || status == 200 {
+                self.referee.accepted(id);
+                return;
+            }
+            assert_eq!(status, 503, "{answer}");
+            sleep(Duration::from_secs(1)).await;
+        }
+        panic!("{id} is not accepted");
+    }
+
+    /// Waits until all replicas of all services run.
+    pub async fn until_all_serve(&self) {
+        self.until("all replicas run", || self.referee.missing().is_empty()).await;
+    }
+
     pub async fn withdraw(&self, n: usize, id: &str) {
         for _ in 0..60 {
             let path = format!("/v2/runs/{id}/withdraw");
@@ -216,6 +288,8 @@
         let answer = self.call(n, Method::GET, &format!("/v2/runs/{id}"), &Value::Null).await;
         if answer.0 == 200 {
             self.referee.answered(id);
+            let stage = answer.1["stage"].as_str().unwrap_or_default();
+            self.referee.told(id, stage, answer.1["done"].as_u64().unwrap_or(0));
         }
         answer
     }
@@ -301,6 +375,14 @@
         "mark_s": 0.0, "stow_s": 0.0, "due_s": null})
 }
 
+pub fn service(id: &str, team: &str, replicas: u32, cpus: f64) -> Value {
+    let mut body = job(id, team, replicas, cpus, "critical");
+    body["form"] = json!("service");
+    body["reckon_s"] = json!(0.0);
+    body["loaners"] = json!(false);
+    body
+}
+
 pub async fn pause(seconds: f64) {
     sleep(Duration::from_secs_f64(seconds)).await;
 }
--- a/crates/dapplecroft-controller/tests/stories/main.rs
+++ b/crates/dapplecroft-controller/tests/stories/main.rs
@@ -9,5 +9,8 @@
 mod failures;
 mod fleet;
 mod late;
+mod limits;
 mod restarts;
+mod services;
+mod upgrade;
 mod users;
--- a/crates/dapplecroft-fakes/src/lib.rs
+++ b/crates/dapplecroft-fakes/src/lib.rs
@@ -11,5 +11,5 @@
 pub use cloud::FakeCloud;
 pub use net::{Action, Handler, Net, Rule};
 pub use referee::Referee;
-pub use state::FakeState;
+pub use state::{FakeState, Limits, Refusals};
 pub use worker::{FakeWorker, WorkerTiming};
--- a/crates/dapplecroft-fakes/src/net.rs
+++ b/crates/dapplecroft-fakes/src/net.rs
@@ -121,6 +121,11 @@
         self.inner.lock().unwrap().rules.clear();
     }
 
+    /// Removes the rules for a sender and a text in bodies.
+    pub fn remove_rules(&self, from: &str, body: &str) {
+        self.inner.lock().unwrap().rules.retain(|r| r.from != from || r.body != body);
+    }
+
     /// How many requests are held.
     pub fn held(&self) -> usize {
         self.inner.lock().unwrap().held.len()
--- a/crates/dapplecroft-fakes/src/referee.rs
+++ b/crates/dapplecroft-fakes/src/referee.rs
@@ -18,6 +18,8 @@
     answered: HashMap<String, Instant>,
     began: HashMap<String, Instant>,
     calm: Option<Instant>,
+    services: BTreeMap<String, u32>,
+    missing: HashMap<String, Instant>,
 }
 
 /// A job about which no question is answered for so long after the end of all
@@ -55,6 +57,42 @@
         self.inner.lock().unwrap().jobs.insert(id.into(), (team.into(), cpus));
     }
 
+    /// Makes a service known that has so many replicas.
+    pub fn service(&self, id: &str, team: &str, cpus: f64, replicas: u32) {
+        self.job(id, team, cpus);
+        self.inner.lock().unwrap().services.insert(id.into(), replicas);
+    }
+
+    /// A user was told a job's stage, and how many tasks are done.
+    pub fn told(&self, id: &str, stage: &str, done: u64) {
+        let mut inner = self.inner.lock().unwrap();
+        if inner.services.contains_key(id) && (stage == "done" || done > 0) {
+            inner.broken.push(format!("not_done: the service {id} is told to be {stage}, {done} done"));
+        }
+    }
+
+    /// Replicas that do not run now, of services that are not cancelled.
+    pub fn missing(&self) -> Vec<String> {
+        let inner = self.inner.lock().unwrap();
+        let open = inner.services.iter().filter(|(id, _)| !inner.cancelled.contains_key(*id));
+        let all = open.flat_map(|(id, n)| (0..*n).map(move |i| format!("{id}/{i}")));
+        all.filter(|task| !inner.on.contains_key(task)).collect()
+    }
+
+    /// Replicas that have been missing for longer than this, all troubles being
+    /// over; to be asked again and again.
+    pub fn lost(&self, longer_than: Duration) -> Vec<String> {
+        let missing = self.missing();
+        let mut inner = self.inner.lock().unwrap();
+        let calm = inner.calm.unwrap_or_else(Instant::now);
+        inner.missing.retain(|task, _| missing.contains(task));
+        for task in &missing {
+            inner.missing.entry(task.clone()).or_insert_with(Instant::now);
+        }
+        let lost = |at: &Instant| (*at).max(calm).elapsed() > longer_than;
+        inner.missing.iter().filter(|(_, at)| lost(at)).map(|(task, _)| task.clone()).collect()
+    }
+
     /// A user was told that a job is cancelled.
     pub fn cancelled(&self, id: &str) {
         self.inner.lock().unwrap().cancelled.insert(id.into(), Instant::now());
@@ -210,6 +248,29 @@
         assert!(!ends.iter().any(|e| e.contains("run-1")), "{ends:?}");
     }
 
+    #[tokio::test(start_paused = true)]
+    async fn a_service_that_is_lost_or_called_done_is_caught() {
+        let referee = Referee::new(Duration::from_secs(10));
+        referee.limit("a", 4.0);
+        referee.service("run-1", "a", 2.0, 2);
+        referee.told("run-1", "running", 0);
+        referee.started("run-1/0", 1, "m");
+        assert_eq!(referee.missing(), ["run-1/1"]);
+        assert!(referee.lost(Duration::from_secs(5)).is_empty());
+        referee.calm();
+        sleep(Duration::from_secs(6)).await;
+        assert_eq!(referee.lost(Duration::from_secs(5)), ["run-1/1"]);
+        referee.started("run-1/1", 1, "m");
+        assert!(referee.lost(Duration::ZERO).is_empty() && referee.broken().is_empty());
+        referee.started("run-1/2", 1, "m");
+        referee.told("run-1", "done", 0);
+        referee.told("run-1", "running", 1);
+        let broken = referee.broken().join("; ");
+        assert!(broken.contains("quota") && broken.matches("not_done").count() == 2, "{broken}");
+        referee.cancelled("run-1");
+        assert!(referee.missing().is_empty());
+    }
+
     #[tokio::test(start_paused = true)]
     async fn a_broken_rule_is_caught() {
         let referee = Referee::new(Duration::from_secs(10));
--- a/crates/dapplecroft-fakes/src/state.rs
+++ b/crates/dapplecroft-fakes/src/state.rs
@@ -28,6 +28,32 @@
     largest: usize,
     changes: u64,
     largest_value: usize,
+    limits: Option<Limits>,
+    level: f64,
+    level_at: Option<Instant>,
+    refused: Refusals,
+}
+
+/// What a state service takes; more is refused.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Bytes of a value.
+    pub value: usize,
+    /// Changes of a transaction; four times as many conditions.
+    pub changes: usize,
+    /// Changes a second, with bursts of one second's worth.
+    pub rate: f64,
+}
+
+/// How often something was refused.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Refusals {
+    /// For the size of a value.
+    pub values: usize,
+    /// For the number of changes or conditions.
+    pub transactions: usize,
+    /// For the rate of changes.
+    pub rate: usize,
 }
 
 /// A state service.
@@ -85,6 +111,28 @@
         inner.expire();
     }
 
+    /// From now on more than this is refused; what is stored stays.
+    pub fn limit(&self, limits: Limits) {
+        let mut inner = self.inner.lock().unwrap();
+        inner.limits = Some(limits);
+        inner.level = limits.rate;
+        inner.level_at = Some(Instant::now());
+    }
+
+    /// How often something was refused.
+    pub fn refused(&self) -> Refusals {
+        self.inner.lock().unwrap().refused
+    }
+
+    /// Puts a key there, as if it had been written before.
+    pub fn put(&self, key: &str, data: Value) {
+        let mut inner = self.inner.lock().unwrap();
+        inner.ledger += 1;
+        let stamp = inner.ledger;
+        inner.log.push((stamp, key.into(), Some(data.clone())));
+        inner.keys.insert(key.into(), Entry { data, stamp, lease: None });
+    }
+
     /// The most changes that a transaction has had.
     pub fn largest(&self) -> usize {
         self.inner.lock().unwrap().largest
@@ -100,6 +148,9 @@
         let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else {
             return answer(400, json!({"error": "malformed"}));
         };
+        if let Some(refusal) = inner.refuse(&transaction) {
+            return refusal;
+        }
         inner.changes += transaction.changes.len() as u64;
         for change in &transaction.changes {
             if let Change::Set { value, .. } = change {
@@ -223,6 +274,32 @@
 }
 
 impl Inner {
+    fn refuse(&mut self, transaction: &Transaction) -> Option<Response> {
+        let limits = self.limits?;
+        let large = |c: &Change| match c {
+            Change::Set { value, .. } => value.to_string().len() > limits.value,
+            Change::Drop { .. } => false,
+        };
+        if transaction.changes.iter().any(large) {
+            self.refused.values += 1;
+            return Some(answer(400, json!({"error": "the value is too large"})));
+        }
+        let (changes, conditions) = (transaction.changes.len(), transaction.conditions.len());
+        if changes > limits.changes || conditions > 4 * limits.changes {
+            self.refused.transactions += 1;
+            return Some(answer(400, json!({"error": "too many operations"})));
+        }
+        let now = Instant::now();
+        let passed = self.level_at.replace(now).map_or(0.0, |at| (now - at).as_secs_f64());
+        self.level = (self.level + passed * limits.rate).min(limits.rate);
+        if self.level < changes as f64 {
+            self.refused.rate += 1;
+            return Some(answer(429, json!({"error": "too many changes"})));
+        }
+        self.level -= changes as f64;
+        None
+    }
+
     fn expire(&mut self) {
         if self.outage {
             return;
@@ -282,3 +359,28 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test(start_paused = true)]
+    async fn what_exceeds_the_limits_is_refused_and_what_is_stored_stays() {
+        let state = FakeState::new();
+        let set = |key: &str, data: &str| json!({"set": key, "data": data});
+        let send = |then: Vec<Value>, when: Vec<Value>| {
+            state.multi(json!({"when": when, "then": then}).to_string().as_bytes()).status
+        };
+        assert_eq!(send(vec![set("a", &"x".repeat(100))], vec![]), 200);
+        state.limit(Limits { value: 50, changes: 2, rate: 3.0 });
+        assert_eq!(send(vec![set("a", &"x".repeat(60))], vec![]), 400);
+        assert_eq!(send(vec![set("a", "x"); 3], vec![]), 400);
+        assert_eq!(send(vec![], vec![json!({"k": "a", "stamp": 1}); 9]), 400);
+        assert_eq!(state.value("a").unwrap().as_str().unwrap().len(), 100);
+        assert_eq!(send(vec![set("a", "x"), set("b", "x")], vec![]), 200);
+        assert_eq!(send(vec![set("a", "x"), set("b", "x")], vec![]), 429);
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(send(vec![set("a", "x"), set("b", "x")], vec![]), 200);
+        assert_eq!(state.refused(), Refusals { values: 1, transactions: 2, rate: 1 });
+    }
+}
--- a/crates/dapplecroft-fakes/src/worker.rs
+++ b/crates/dapplecroft-fakes/src/worker.rs
@@ -44,7 +44,7 @@
     sequence: u64,
     token: u64,
     renewed: Instant,
-    notice: Option<f64>,
+    notice: Option<Instant>,
     steward: usize,
     dead: bool,
 }
@@ -137,7 +137,7 @@
 
     /// The cloud takes it in so many seconds.
     pub fn notice(&self, seconds: f64) {
-        self.inner.lock().unwrap().notice = Some(seconds);
+        self.inner.lock().unwrap().notice = Some(Instant::now() + Duration::from_secs_f64(seconds));
         self.changed.notify_one();
     }
 
@@ -182,7 +182,7 @@
             session: inner.session,
             sequence: inner.sequence,
             token: inner.token,
-            notice_s: inner.notice,
+            notice_s: inner.notice.map(|at| at.saturating_duration_since(Instant::now()).as_secs_f64()),
             tasks: inner
                 .tasks
                 .iter()
--- a/crates/dapplecroft-sched/src/fleet.rs
+++ b/crates/dapplecroft-sched/src/fleet.rs
@@ -10,6 +10,9 @@
     pub need: Need,
     /// How many.
     pub count: i64,
+    /// Whether they can't wait for the cheapest machine: the one that is up
+    /// soonest is taken.
+    pub soon: bool,
 }
 
 /// A kind of machine that can be asked for.
@@ -96,7 +99,7 @@
         let need = &demand.need;
         let mut left = pack(&mut rooms, need, demand.count);
         while left > 0 && total < most {
-            let Some(index) = cheapest_offer(offers, need, left, thrift) else { break };
+            let Some(index) = cheapest_offer(offers, need, left, thrift && !demand.soon) else { break };
             let offer = &offers[index];
             let each = need.amounts.times_in(&offer.capacity).max(1);
             // A last machine that would stay partly empty is chosen by itself.
@@ -169,7 +172,7 @@
 
     #[test]
     fn booting_machines_are_filled_before_more_are_rented() {
-        let demands = [Demand { need: need(4.0), count: 6 }];
+        let demands = [Demand { need: need(4.0), count: 6, soon: false }];
         let offers = [offer("small", 16.0, 1.0, 50.0), offer("big", 32.0, 2.5, 20.0)];
         let boots = |cpus: f64, count| {
             let room = Amounts::new(cpus, 0.0, cpus * 4.0);
@@ -183,7 +186,10 @@
 
     #[test]
     fn a_thousand_machines_are_planned_by_kinds() {
-        let many = [Demand { need: need(4.0), count: 4001 }, Demand { need: need(2.0), count: 2 }];
+        let many = [
+            Demand { need: need(4.0), count: 4001, soon: false },
+            Demand { need: need(2.0), count: 2, soon: false },
+        ];
         let offers = [offer("small", 16.0, 1.0, 50.0)];
         assert_eq!(plan_rentals(&many, vec![], &offers, true, 5000), [Rental { offer: 0, count: 1001 }]);
         assert_eq!(plan_rentals(&many, vec![], &offers, true, 70), [Rental { offer: 0, count: 70 }]);
@@ -191,10 +197,10 @@
 
     #[test]
     fn without_thrift_the_machine_that_is_up_first_is_taken() {
-        let demands = [Demand { need: need(4.0), count: 6 }];
+        let demands = [Demand { need: need(4.0), count: 6, soon: false }];
         let offers = [offer("small", 16.0, 1.0, 50.0), offer("big", 32.0, 2.5, 20.0)];
         assert_eq!(plan_rentals(&demands, vec![], &offers, false, 50), [Rental { offer: 1, count: 1 }]);
-        let too_big = [Demand { need: need(64.0), count: 1 }];
+        let too_big = [Demand { need: need(64.0), count: 1, soon: false }];
         assert!(plan_rentals(&too_big, vec![], &offers, false, 50).is_empty());
     }
 }
--- a/crates/dapplecroft-sched/src/lib.rs
+++ b/crates/dapplecroft-sched/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use amounts::Amounts;
 pub use fleet::{Demand, Offer, Rental, Rooms, cheapest_offer, plan_rentals};
-pub use place::{Candidate, HasImage, Need, Slot, best_fit};
+pub use place::{Candidate, HasImage, Need, Slot, best_fit, best_fit_of};
 pub use preempt::{Claim, Victims, pick_victims};
 pub use repack::{DrainPlan, DrainRules, Move, Resident, plan_drain};
 pub use teams::{TeamBook, Teams};
--- a/crates/dapplecroft-sched/src/place.rs
+++ b/crates/dapplecroft-sched/src/place.rs
@@ -89,25 +89,39 @@
     pub image: HasImage,
     /// Whether it has shown itself to be slow or faulty: taken only last.
     pub doubtful: bool,
+    /// For replicas: whether one of the same service is there.
+    pub sibling: bool,
+    /// For replicas: how quickly it fetches images; else 0.
+    pub fetch: u32,
 }
 
+/// What is compared: not doubtful, the step of the share, no sibling, the image
+/// and how quickly it would be there, the share, the first.
+type Fit = (bool, i64, (bool, HasImage, u32), f64, Reverse<usize>);
+
 /// Best fit on the dominant share for `count` equal tasks: each goes onto the
 /// machine whose share becomes the highest. Among about equally full ones, one
 /// that has the image is taken, or fetches it already. Filling a machine makes
 /// it fuller, so it stays the best until nothing more fits: one pass over the
 /// candidates serves all tasks. Returns candidates with numbers of tasks.
 pub fn best_fit(candidates: &[Candidate], need: &Amounts, count: i64) -> Vec<(usize, i64)> {
-    let mut order: Vec<(bool, i64, HasImage, f64, Reverse<usize>)> = candidates
+    best_fit_of(candidates, need, count, i64::MAX)
+}
+
+/// The same with no more than so many tasks on each machine, for what should
+/// not all be lost with one.
+pub fn best_fit_of(candidates: &[Candidate], need: &Amounts, count: i64, each: i64) -> Vec<(usize, i64)> {
+    let mut order: Vec<Fit> = candidates
         .iter()
         .enumerate()
         .filter(|(_, c)| need.fits(&(c.capacity - c.booked)))
         .map(|(index, c)| {
             let share = (c.booked + *need).share_of(&c.capacity);
-            (!c.doubtful, (share * SHARE_STEPS) as i64, c.image, share, Reverse(index))
+            let tie = (!c.sibling, c.image, c.fetch);
+            (!c.doubtful, (share * SHARE_STEPS) as i64, tie, share, Reverse(index))
         })
         .collect();
-    let better = |a: &(bool, i64, HasImage, f64, Reverse<usize>),
-                  b: &(bool, i64, HasImage, f64, Reverse<usize>)| {
+    let better = |a: &Fit, b: &Fit| {
         (b.0, b.1, b.2).cmp(&(a.0, a.1, a.2)).then(b.3.total_cmp(&a.3)).then(b.4.cmp(&a.4))
     };
     // Only as many machines as there are tasks can be needed.
@@ -127,7 +141,7 @@
             break;
         }
         let c = &candidates[index];
-        let n = need.times_in(&(c.capacity - c.booked)).clamp(1, left);
+        let n = need.times_in(&(c.capacity - c.booked)).min(each).clamp(1, left);
         chosen.push((index, n));
         left -= n;
     }
@@ -156,7 +170,14 @@
 
     fn candidate(cpus: f64, booked: f64) -> Candidate {
         let slot = slot("c", cpus, booked);
-        Candidate { capacity: slot.capacity, booked: slot.booked, image: HasImage::No, doubtful: false }
+        Candidate {
+            capacity: slot.capacity,
+            booked: slot.booked,
+            image: HasImage::No,
+            doubtful: false,
+            sibling: false,
+            fetch: 0,
+        }
     }
 
     #[test]
--- a/crates/dapplecroft/src/options.rs
+++ b/crates/dapplecroft/src/options.rs
@@ -69,6 +69,9 @@
     if let Some(machines) = number("block_machines", 1.0, 1000.0)? {
         options.block_machines = Some(machines as usize);
     }
+    if let Some(machines) = number("standby_machines", 0.0, 1000.0)? {
+        options.standby_machines = machines as usize;
+    }
     let flag = |field: &str, default: bool| match message.get_field_by_name(field).as_deref() {
         Some(Value::Bool(value)) if message.has_field_by_name(field) => *value,
         _ => default,
