--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -249,19 +249,24 @@
     /// one machine than could be cut into pieces within them. Then as many ends
     /// are taken in at a time as fit; neighbours that have ended join again.
     fn new_load(&self, id: PartId) -> (LoadRecord, Vec<(TaskId, Placed)>) {
-        let mut ends = usize::MAX;
+        let (mut ends, mut most) = (usize::MAX, usize::MAX);
         loop {
-            let (record, proposals, taken) = self.load_with(id, ends);
-            let size = stored_size(&self.load_value(id, &record));
-            if taken == 0 || size <= self.limits().value {
+            let (record, proposals, taken) = self.load_with(id, ends, most);
+            let fits = stored_size(&self.load_value(id, &record)) <= self.limits().value;
+            if fits || (taken == 0 && proposals.is_empty()) {
                 return (record, proposals);
             }
-            ends = taken / 2;
+            if proposals.is_empty() {
+                ends = taken / 2;
+            } else {
+                most = proposals.len() / 2;
+            }
         }
     }
 
-    /// The same with the first so many ends; and how many there were.
-    fn load_with(&self, id: PartId, ends: usize) -> (LoadRecord, Vec<(TaskId, Placed)>, usize) {
+    /// The same with the first so many ends and proposals; and how many ends
+    /// there were.
+    fn load_with(&self, id: PartId, ends: usize, most: usize) -> (LoadRecord, Vec<(TaskId, Placed)>, usize) {
         let limits = self.limits();
         let mut taken = 0;
         let most_jobs = limits.changes * 3;
@@ -299,8 +304,7 @@
         // What is most urgent goes into the record first, then what has waited.
         waiting.sort_by(|a, b| (a.0, a.1, &a.2).cmp(&(b.0, b.1, &b.2)));
         let mut asked: BTreeSet<Arc<str>> = BTreeSet::new();
-        let mut scale =
-            if whole { Scale::whole(&record, limits.value) } else { Scale::new(&record, limits.value) };
+        let mut scale = Scale::new(&record, limits.value, whole);
         for (_, _, task, p) in waiting {
             // A task is placed only while its job is open and the record of the
             // job, to whose version the unit is bound, admits it to the block.
@@ -311,7 +315,7 @@
             }
             // A value and a transaction have limits: the rest waits.
             let bound = !asked.contains(&task.job) && asked.len() >= most_jobs;
-            if bound || !scale.take(&task, &p) {
+            if bound || proposals.len() >= most || !scale.take(&task, &p) {
                 continue;
             }
             asked.insert(task.job.clone());
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -202,6 +202,8 @@
     pub loads: BTreeMap<PartId, Load>,
     /// What proposals add to the weight of parts.
     pending: BTreeMap<PartId, usize>,
+    /// What was proposed last, and where.
+    weighed: Option<(PartId, TaskId)>,
     /// What parts take over from records of the first layout.
     inherited: BTreeMap<PartId, moving::Inherited>,
     /// Completed tasks in records of their own, by job.
@@ -276,6 +278,7 @@
             behind: HashMap::new(),
             loads: BTreeMap::new(),
             pending: BTreeMap::new(),
+            weighed: None,
             inherited: BTreeMap::new(),
             folds: HashMap::new(),
             litter: BTreeSet::new(),
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -463,7 +463,7 @@
             return false;
         };
         let Some(home) = self.settle_part(machine) else { return false };
-        if !self.weigh(task, attempt, session, home) {
+        if !self.weigh(task, home) {
             return false;
         }
         let Some(Job::Open(job)) = self.jobs.get_mut(&task.job) else { return false };
--- a/crates/dapplecroft-controller/src/ranges.rs
+++ b/crates/dapplecroft-controller/src/ranges.rs
@@ -42,7 +42,7 @@
     }
 
     /// Whether all from `a` to `b` is in it.
-    fn covers(&self, a: u32, b: u32) -> bool {
+    pub fn covers(&self, a: u32, b: u32) -> bool {
         let i = self.0.partition_point(|&(_, end)| end < a);
         self.0.get(i).is_some_and(|&(x, y)| x <= a && b <= y)
     }
