--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -30,18 +30,22 @@
     /// is decided together in the next; the pause grows with the time that a
     /// round takes, so batches widen with the load.
     pub(crate) async fn place_loop(self: Arc<Self>) {
+        let mut last = now();
         loop {
             let _ = timeout(TICK, self.wake_place.notified()).await;
             let began = now();
             let wall = self.wall_seconds();
             // While decisions wait to be recorded, the next round waits too, and
-            // decides more at a time.
+            // decides more at a time; but not for long, since what waits may be
+            // this node's alone, and other holders have nothing to do.
             let scarce = self.state.write_room() < 0.3;
-            if scarce && self.with(|core| core.backed_up()) > 4 * self.committer.enough() {
+            let recent = began.saturating_duration_since(last) < LONGEST_ROUND;
+            if scarce && recent && self.with(|core| core.backed_up()) > 4 * self.committer.enough() {
                 sleep(LONGEST_ROUND / 4).await;
                 self.wake_place.notify_one();
                 continue;
             }
+            last = began;
             let unit = self.with(|core| {
                 core.place(wall, scarce, now());
                 core.drain_step(now())
