--- a/crates/dapplecroft-controller/src/core/admission.rs
+++ b/crates/dapplecroft-controller/src/core/admission.rs
@@ -72,7 +72,7 @@
                 });
             }
         }
-        RoomReply { blocks: parts.into_values().collect() }
+        RoomReply { blocks: parts.into_values().collect(), spare_changes: 0.0 }
     }
 
     /// Takes over what has become free in another holder's blocks. It counts
--- a/crates/dapplecroft-controller/src/core/parts.rs
+++ b/crates/dapplecroft-controller/src/core/parts.rs
@@ -18,14 +18,17 @@
 const FULL: f64 = 0.92;
 /// The same for the size of a record of the first layout.
 const FULL_WHOLE: f64 = 0.85;
-/// Machines that have nothing yet join a part up to this weight, so that the
-/// part has room for what will run on them.
-const JOIN: f64 = 0.5;
+/// Machines join a part up to this weight, each counted with what one usually
+/// has: the fewer parts, the fewer changes, but one that has no room left keeps
+/// its machines from taking work.
+const JOIN: f64 = 0.8;
+/// What a machine is taken to weigh while none has anything.
+const USUAL: usize = 60;
 /// What a group of neighbours takes, and what its ends may add.
-const GROUP: usize = 14;
-const ENDS: usize = 8;
+const GROUP: usize = 10;
+const ENDS: usize = 4;
 /// The same for a job's name among others.
-const NAMED: usize = 10;
+const NAMED: usize = 5;
 
 fn machine_weight(id: &str) -> usize {
     id.len() + 6
@@ -144,7 +147,7 @@
             }
         }
         let most = (self.limits().value as f64 * JOIN) as usize;
-        let own = machine_weight(id) + self.weight_of(machine, |_| true);
+        let own = machine_weight(id) + self.weight_of(machine, |_| true).max(self.usual_weight(block));
         let known = self.part_numbers(block);
         let open = known.iter().copied().find(|n| self.part_weight(&PartId::new(block, *n)) + own <= most);
         let number = open.or_else(|| (0..).find(|n| !known.contains(n)))?;
@@ -154,6 +157,15 @@
         Some(part)
     }
 
+    /// What machines of a block usually weigh.
+    fn usual_weight(&self, block: u32) -> usize {
+        let parts = self.loads_of(block).filter(|(id, _)| id.part.is_some());
+        let used =
+            parts.map(|(_, l)| (l.weight, l.record.machines.values().filter(|s| !s.is_empty()).count()));
+        let (weight, machines) = used.fold((0, 0), |(w, m), (own, n)| (w + own, m + n));
+        weight.checked_div(machines).unwrap_or(USUAL).max(USUAL / 3)
+    }
+
     /// What tasks of a machine weigh with the names of their jobs.
     fn weight_of(&self, machine: &Machine, counts: impl Fn(&Placed) -> bool) -> usize {
         let mut last: Option<(&TaskId, u64)> = None;
--- a/crates/dapplecroft-controller/src/loops/election.rs
+++ b/crates/dapplecroft-controller/src/loops/election.rs
@@ -279,7 +279,14 @@
         self.state.expect_less(!mixed && params.state.next.is_some());
         let (rps, writes) = params.state.rates(self.state.has_less());
         let rps = rps / f64::from(params.nodes.max(1));
-        self.state.set_rates(rps, (writes * share * 0.94).max(2.0));
+        let (lent, borrowed) = self.loans();
+        self.state.set_rates(rps, (writes * share * 0.94 - lent).max(2.0) + borrowed);
+    }
+
+    /// Changes a second that are this node's own.
+    pub(crate) fn own_write_rate(&self) -> f64 {
+        let (_, writes) = self.settings.params.state.rates(self.state.has_less());
+        writes * self.with(|core| core.write_share()) * 0.94
     }
 
     /// Watches whether this node has lost the state service, and whether it is
--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -14,6 +14,8 @@
 const ROUND: Duration = Duration::from_millis(30);
 /// Longest pause between rounds.
 const LONGEST_ROUND: Duration = Duration::from_millis(500);
+/// Longest time that a round waits for what earlier ones decided to be recorded.
+const LONGEST_WAIT: Duration = Duration::from_millis(1500);
 /// A round is due at least this often: pauses end, machines fall silent.
 const TICK: Duration = Duration::from_secs(1);
 /// How often ends of tasks that wait for company are looked at.
@@ -36,10 +38,10 @@
             let began = now();
             let wall = self.wall_seconds();
             // While decisions wait to be recorded, the next round waits too, and
-            // decides more at a time; but not for long, since what waits may be
+            // decides more at a time; but not for ever, since what waits may be
             // this node's alone, and other holders have nothing to do.
             let scarce = self.state.write_room() < 0.3;
-            let recent = began.saturating_duration_since(last) < LONGEST_ROUND;
+            let recent = began.saturating_duration_since(last) < LONGEST_WAIT;
             if scarce && recent && self.with(|core| core.backed_up()) > 4 * self.committer.enough() {
                 sleep(LONGEST_ROUND / 4).await;
                 self.wake_place.notify_one();
--- a/crates/dapplecroft-controller/src/node.rs
+++ b/crates/dapplecroft-controller/src/node.rs
@@ -110,6 +110,10 @@
     pub(crate) helper: Mutex<Option<usize>>,
     /// Whether nobody is known to reach the state service.
     pub(crate) shared_outage: AtomicBool,
+    /// Changes a second left to the leader, and until when.
+    pub(crate) lent: Mutex<Option<(f64, Instant)>>,
+    /// Changes a second that other nodes leave to this one, and until when.
+    pub(crate) borrowed: Mutex<Option<(f64, Instant)>>,
     pub(crate) consulting: AtomicBool,
     /// How many silent machines the others were asked about so far.
     pub(crate) consulted: AtomicUsize,
@@ -169,6 +173,8 @@
             requests: AtomicUsize::new(0),
             helper: Mutex::default(),
             shared_outage: AtomicBool::new(false),
+            lent: Mutex::default(),
+            borrowed: Mutex::default(),
             consulting: AtomicBool::new(false),
             consulted: AtomicUsize::new(0),
             touched: Mutex::default(),
--- a/crates/dapplecroft-controller/src/peers.rs
+++ b/crates/dapplecroft-controller/src/peers.rs
@@ -15,6 +15,13 @@
 
 /// How often the leader asks for room that is not recorded yet.
 const ROOM_EVERY: Duration = Duration::from_millis(500);
+/// How long changes are left to another node, counted by the one that leaves
+/// them; the other counts on them for less, whatever the answer took.
+const LENT: Duration = Duration::from_millis(700);
+const LENDS: Duration = Duration::from_millis(1500);
+/// The part of what a node has that it leaves to another while it has no use for
+/// it; the rest is for what comes up.
+const LEAVES: f64 = 0.6;
 /// How long a worker has to answer a probe.
 pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -67,8 +74,11 @@
     }
 
     /// Room that has become free in this node's blocks and is not recorded yet.
+    /// What of this node's changes nobody here needs is left to the asking one
+    /// for as long as that may count on it.
     pub fn own_room(&self) -> RoomReply {
-        self.0.with(|core| core.freed_room())
+        let room = self.0.with(|core| core.freed_room());
+        RoomReply { spare_changes: self.0.lend(), ..room }
     }
 
     /// Answers another node's user, from what this node knows and reaches.
@@ -139,12 +149,38 @@
                 let (peers, peer) = (self.peers.clone(), peer.clone());
                 asked.spawn(async move { peers.room(&peer).await });
             }
+            let mut spare = 0.0;
             for reply in asked.join_all().await.into_iter().flatten() {
                 self.with(|core| core.take_room(&reply, now()));
+                spare += reply.spare_changes.clamp(0.0, self.settings.params.state.write_rps);
             }
+            *lock(&self.borrowed) = Some((spare, now() + LENT));
+            self.set_rates();
         }
     }
 
+    /// Leaves most of this node's changes to the asking one if nothing here waits
+    /// for any; returns how many a second.
+    fn lend(&self) -> f64 {
+        let idle = self.state.write_room() > 0.9 && self.committer.waiting() == 0;
+        let share = if idle { self.own_write_rate() * LEAVES } else { 0.0 };
+        let mut lent = lock(&self.lent);
+        if share > 0.0 {
+            *lent = Some((share, now() + LENDS));
+        }
+        drop(lent);
+        self.set_rates();
+        share
+    }
+
+    /// Changes a second that this node has lent and borrowed.
+    pub(crate) fn loans(&self) -> (f64, f64) {
+        let open = |loan: &Option<(f64, std::time::Instant)>| {
+            loan.filter(|(_, until)| *until > now()).map_or(0.0, |(rate, _)| rate)
+        };
+        (open(&lock(&self.lent)), open(&lock(&self.borrowed)))
+    }
+
     /// How long ago the state service last answered this node's renewal.
     pub(crate) fn state_age(&self) -> Option<Duration> {
         lock(&self.touched).map(|at| now().saturating_duration_since(at))
