--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -112,6 +112,11 @@
                 self.again.insert(subject);
                 continue;
             }
+            if let Subject::Part(id) = &subject
+                && self.loads.contains_key(&PartId::whole(id.block))
+            {
+                self.relieve(*id);
+            }
             let unit = match &subject {
                 Subject::Job(id) => self.job_unit(id),
                 Subject::Part(id) => self.part_unit(*id),
@@ -266,7 +271,12 @@
 
     /// The same with the first so many ends and proposals; and how many ends
     /// there were.
-    fn load_with(&self, id: PartId, ends: usize, most: usize) -> (LoadRecord, Vec<(TaskId, Placed)>, usize) {
+    pub(super) fn load_with(
+        &self,
+        id: PartId,
+        ends: usize,
+        most: usize,
+    ) -> (LoadRecord, Vec<(TaskId, Placed)>, usize) {
         let limits = self.limits();
         let mut taken = 0;
         let most_jobs = limits.changes * 3;
--- a/crates/dapplecroft-controller/src/core/parts.rs
+++ b/crates/dapplecroft-controller/src/core/parts.rs
@@ -176,13 +176,53 @@
                 let same = last.filter(|(t, _)| t.job == task.job);
                 let joins = same.is_some_and(|(t, n)| t.index + 1 == task.index && n == p.attempt);
                 // Other machines of the part may have tasks of the job, too.
-                sum += task_weight(joins) + if same.is_some() { 0 } else { NAMED };
+                // Those that move here from a whole block's record bring names.
+                let named = if p.home.part.is_some() { NAMED } else { task.job.len() + NAMED };
+                sum += task_weight(joins) + if same.is_some() { 0 } else { named };
                 last = Some((task, p.attempt));
             }
         }
         sum
     }
 
+    /// Sends machines that no record of a part has yet to other parts until what
+    /// runs on the rest fits a value: what is committed must always fit, and only
+    /// what moves here from a record of the first layout may turn out not to.
+    pub(super) fn relieve(&mut self, id: PartId) {
+        let Some(part) = id.part else { return };
+        let limit = self.limits().value;
+        loop {
+            let (record, _, _) = self.load_with(id, 0, 0);
+            if stored_size(&self.load_value(id, &record)) <= limit {
+                return;
+            }
+            let known = self.loads.get(&id).map(|l| &l.record.machines);
+            let new = |m: &&Machine| {
+                let here = m.block == id.block && m.part == Some(part) && !m.tasks.is_empty();
+                here && !known.is_some_and(|k| k.contains_key(&*m.id))
+            };
+            let Some(machine) = self.machines.values().filter(new).last().map(|m| m.id.clone()) else {
+                return;
+            };
+            let full = self.part_weight(&id);
+            self.pending.insert(id, full.max(limit));
+            if let Some(machine) = self.machines.get_mut(&machine) {
+                machine.part = None;
+            }
+            let Some(other) = self.settle_part(&machine) else { return };
+            let tasks: Vec<TaskId> =
+                self.machines.get(&machine).map(|m| m.tasks.iter().cloned().collect()).unwrap_or_default();
+            for task in tasks {
+                if let Some(job) = self.open_job_mut(&task.job)
+                    && let Some(p) = job.placed.get_mut(&task.index).filter(|p| !p.committed && p.home == id)
+                {
+                    p.home = other;
+                }
+            }
+            self.mark_part(other, false);
+        }
+    }
+
     /// Works out anew what is to come in a part besides what its record has.
     pub(super) fn reweigh(&mut self, id: PartId) {
         let Some(part) = id.part else { return };
