--- a/crates/dapplecroft-controller/src/core/groups.rs
+++ b/crates/dapplecroft-controller/src/core/groups.rs
@@ -15,7 +15,7 @@
 
 /// Addresses are written for one group at a time, this far apart: hundreds of
 /// machines that come up together must not use up the writes.
-const ADDRESSES_EVERY: Duration = Duration::from_millis(500);
+const ADDRESSES_EVERY: Duration = Duration::from_millis(1500);
 
 /// Machines whose tasks take about a kilobyte of their block's record, with a
 /// wide margin for many small tasks.
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -104,6 +104,14 @@
     pub jobs: usize,
     /// Tasks that no block has.
     pub unadmitted: u32,
+    /// Records of what runs in its blocks, and their bytes.
+    pub parts: usize,
+    /// How many bytes they take together.
+    pub bytes: usize,
+    /// Processors that are free on machines that take work, in percent.
+    pub free_percent: i64,
+    /// The layout of the records in force.
+    pub layout: u32,
 }
 
 /// What has something to commit, first come first served.
@@ -451,12 +459,23 @@
             jobs: self.open.len(),
             ..Summary::default()
         };
+        let (mut free, mut all) = (0, 0);
         for machine in self.machines.values() {
             let Some(holding) = self.role.holdings.get(&machine.block) else { continue };
             summary.machines += 1;
-            summary.open_machines += usize::from(machine.open(holding.epoch, silence, now));
             summary.placed += machine.tasks.len();
+            if machine.open(holding.epoch, silence, now) {
+                summary.open_machines += 1;
+                free += machine.room().cpus;
+                all += machine.capacity.cpus;
+            }
+        }
+        summary.free_percent = (free * 100).checked_div(all).unwrap_or(0);
+        for (_, load) in self.loads.iter().filter(|(id, _)| self.is_holder(id.block)) {
+            summary.parts += 1;
+            summary.bytes += load.size;
         }
+        summary.layout = self.format;
         for job in self.open.iter().filter_map(|id| self.open_job(id)) {
             summary.unadmitted += job.unadmitted.len();
             let own = job.waiting.iter().filter(|(b, _)| self.is_holder(**b));
--- a/crates/dapplecroft-controller/src/core/parts.rs
+++ b/crates/dapplecroft-controller/src/core/parts.rs
@@ -31,7 +31,8 @@
 const NAMED: usize = 5;
 
 fn machine_weight(id: &str) -> usize {
-    id.len() + 6
+    // Most have the beginning of their names in common.
+    id.len() / 2 + 4
 }
 
 /// A task that joins its neighbour, or begins a group.
--- a/crates/dapplecroft-controller/src/records.rs
+++ b/crates/dapplecroft-controller/src/records.rs
@@ -258,13 +258,18 @@
 /// ids. `3:7-20*2@4/0a` are the tasks 7 to 20 of the fourth job, attempt 2, in
 /// the worker's session 4; behind the stroke are those of them that have
 /// completed meanwhile, four to a digit. So what is placed together takes little
-/// room until all of it has ended, in whatever order.
+/// room until all of it has ended, in whatever order. Machines come in the order
+/// of their names, each with a letter for how much of the last name it begins
+/// with: `ai-000231=0:3;h45=1:7` are `i-000231` and `i-000245`.
 #[derive(Default, Serialize, Deserialize)]
 struct Written {
     #[serde(rename = "j", default, skip_serializing_if = "String::is_empty")]
     jobs: String,
-    #[serde(rename = "m", default, skip_serializing_if = "BTreeMap::is_empty")]
-    machines: BTreeMap<String, String>,
+    #[serde(rename = "m", default, skip_serializing_if = "String::is_empty")]
+    machines: String,
+    /// Those whose names have other signs than most.
+    #[serde(rename = "o", default, skip_serializing_if = "BTreeMap::is_empty")]
+    others: BTreeMap<String, String>,
     /// `3:0-5,7`.
     #[serde(rename = "d", default, skip_serializing_if = "String::is_empty")]
     done: String,
@@ -371,6 +376,11 @@
     Some((spans, done))
 }
 
+/// Whether a machine's name has no sign that a record is written with.
+fn is_plain(name: &str) -> bool {
+    !name.is_empty() && name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.:/".contains(&b))
+}
+
 /// A number behind a mark, 1 if there is none, and what is before it.
 fn suffix(text: &str, mark: char) -> Option<(&str, u64)> {
     match text.split_once(mark) {
@@ -478,10 +488,19 @@
             let _ = write!(written.tries, "{}{}:", space(&written.tries), position(id));
             write_tries(&mut written.tries, own);
         }
+        let mut last = "";
         for (machine, groups) in groups {
             let mut text = String::new();
             groups.iter().for_each(|g| g.write(&mut text));
-            written.machines.insert(machine.clone(), text);
+            if is_plain(machine) {
+                let same = machine.bytes().zip(last.bytes()).take_while(|(a, b)| a == b).count().min(25);
+                let mark = char::from(b'a' + same as u8);
+                let stop = if last.is_empty() { "" } else { ";" };
+                let _ = write!(written.machines, "{stop}{mark}{}={text}", &machine[same..]);
+                last = machine;
+            } else {
+                written.others.insert(machine.clone(), text);
+            }
         }
         for id in &jobs {
             let _ = write!(written.jobs, "{}{}", space(&written.jobs), id.strip_prefix(ID).unwrap_or(id));
@@ -512,7 +531,16 @@
     for (id, text) in words(&written.tries, ' ', of).ok_or("attempts of no job")? {
         record.tries.insert(id, read_tries(&text).ok_or("unreadable attempts")?);
     }
-    for (machine, text) in &written.machines {
+    let mut machines: Vec<(String, &str)> = Vec::new();
+    for entry in written.machines.split(';').filter(|e| !e.is_empty()) {
+        let (name, text) = entry.split_once('=').ok_or("a machine without tasks")?;
+        let mark = name.bytes().next().filter(u8::is_ascii_lowercase).ok_or("a machine without a name")?;
+        let last = machines.last().map_or("", |(m, _)| m);
+        let same = last.get(..usize::from(mark - b'a')).ok_or("a machine with half a name")?;
+        machines.push((format!("{same}{}", &name[1..]), text));
+    }
+    machines.extend(written.others.iter().map(|(m, text)| (m.clone(), text.as_str())));
+    for (machine, text) in machines {
         let mut spans = Vec::new();
         for (own, done) in words(text, ' ', read_group).ok_or("unreadable tasks")? {
             let job = own.first().map(|s| s.job as usize).ok_or("tasks that have all ended")?;
@@ -523,7 +551,7 @@
             }
             spans.extend(own);
         }
-        record.machines.insert(machine.clone(), spans);
+        record.machines.insert(machine, spans);
     }
     record.jobs = jobs;
     Ok(record)
@@ -752,28 +780,32 @@
         // All between these has completed; what has not keeps the last apart.
         let spans = vec![span(20, 21, 1, 1), span(23, 23, 1, 1), span(26, 30, 1, 1), span(33, 33, 1, 1)];
         record.machines.insert("i-3".into(), spans);
+        record.machines.insert("i 4".into(), vec![span(50, 50, 1, 1)]);
         record.done.insert("run-01".into(), Ranges::ascending([19, 22, 24, 25, 31]));
         record.done.insert("run-2".into(), Ranges::ascending([0, 1, 2, 5]));
         record.tries.insert("run-01".into(), BTreeMap::from([(3, 2), (4, 9), (5, 9), (6, 9)]));
         record.tries.insert("run-3".into(), BTreeMap::from([(0, 1)]));
         let value = serde_json::to_value(&record).unwrap();
         let expected = json!({"j": "01 2 3",
-            "m": {"i-1": "0:7 0:8-9*2 0:10@4 0:11-12*3@5", "i-2": "", "i-3": "0:20-30/430 0:33"},
+            "m": "ai-1=0:7 0:8-9*2 0:10@4 0:11-12*3@5;c2=;c3=0:20-30/430 0:33", "o": {"i 4": "0:50"},
             "d": "0:19,31 1:0-2,5", "t": "0:3*2,4-6*9 2:0*1"});
         assert_eq!(value, expected);
-        assert_eq!(record.group_sizes(), [1, 2, 1, 2, 11, 1]);
+        assert_eq!(record.group_sizes(), [1, 1, 2, 1, 2, 11, 1]);
         let read: LoadRecord = serde_json::from_value(value).unwrap();
         assert_eq!((read.machines, read.done, read.tries), (record.machines, record.done, record.tries));
         for bad in [
-            json!({"m": {"i-1": "0:1"}}),
-            json!({"j": "1", "m": {"i-1": "0:9-7"}}),
-            json!({"j": "1", "m": {"i-1": "0:x"}}),
-            json!({"j": "1", "m": {"i-1": "0:1-2/8"}}),
-            json!({"j": "1", "m": {"i-1": "0:1-2/3"}}),
-            json!({"j": "1", "m": {"i-1": "0:1-2/00"}}),
+            json!({"m": "ai-1=0:1"}),
+            json!({"j": "1", "m": "ai-1=0:9-7"}),
+            json!({"j": "1", "m": "ai-1=0:x"}),
+            json!({"j": "1", "m": "ai-1=0:1-2/8"}),
+            json!({"j": "1", "m": "ai-1=0:1-2/3"}),
+            json!({"j": "1", "m": "ai-1=0:1-2/00"}),
             json!({"j": "1", "d": "0:5-2"}),
             json!({"j": "1", "t": "0:5"}),
             json!({"d": "0:5"}),
+            json!({"j": "1", "m": "bi-1=0:5"}),
+            json!({"j": "1", "m": "ai-1"}),
+            json!({"j": "1", "m": "=0:5"}),
         ] {
             assert!(serde_json::from_value::<LoadRecord>(bad.clone()).is_err(), "{bad}");
         }
--- a/crates/dapplecroft-controller/tests/stories/late.rs
+++ b/crates/dapplecroft-controller/tests/stories/late.rs
@@ -53,7 +53,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_late_transaction_places_nothing_twice() {
     let c = Cluster::start(3).await;
-    let placement = "\",\"m\":{\"i-";
+    let placement = "\",\"m\":\"a";
     c.net.rule(Rule::all("", STATE, Action::Hold).path("/multi").body(placement).times(2));
     c.submit("run-1", "tight", 2, 8.0, "normal").await;
     c.until("both are held", || c.net.held() == 2).await;
@@ -69,7 +69,7 @@
     c.submit("run-1", "free", 1, 1.0, "normal").await;
     c.until_stage("run-1", "done").await;
     let old = c.leader().unwrap();
-    c.net.rule(Rule::all(&host(old), STATE, Action::Hold).path("/multi").body("\",\"m\":{\"i-"));
+    c.net.rule(Rule::all(&host(old), STATE, Action::Hold).path("/multi").body("\",\"m\":\"a"));
     c.submit("run-2", "free", 1, 4.0, "normal").await;
     c.until("the placement is held", || c.net.held() > 0).await;
     // Its lease ends while the task is being placed.
