--- a/crates/dapplecroft-controller/src/core/parts.rs
+++ b/crates/dapplecroft-controller/src/core/parts.rs
@@ -202,7 +202,7 @@
                 let here = m.block == id.block && m.part == Some(part) && !m.tasks.is_empty();
                 here && !known.is_some_and(|k| k.contains_key(&*m.id))
             };
-            let Some(machine) = self.machines.values().filter(new).last().map(|m| m.id.clone()) else {
+            let Some(machine) = self.machines.values().rfind(new).map(|m| m.id.clone()) else {
                 return;
             };
             let full = self.part_weight(&id);
