--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -4,7 +4,7 @@
 use super::Core;
 use super::layout::to_value;
 use super::parts::Scale;
-use crate::jobs::{OpenJob, Placed, TaskId};
+use crate::jobs::{Job, OpenJob, Placed, TaskId};
 use crate::machines::Machine;
 use crate::records::{self, FoldRecord, JobRecord, JobStage, LoadRecord, PartId, Span, stored_size};
 use dapplecroft_state::Unit;
@@ -33,6 +33,8 @@
 /// Nothing more is placed in a block whose record of the first layout has so
 /// much of a value's limit: what is left is for the ends of what is placed.
 const SPARE: f64 = 0.7;
+/// What is waiting in each part is counted anew so often.
+const WORTH_LASTS: Duration = Duration::from_millis(150);
 /// Bytes of a record of completed tasks.
 const FOLD: usize = 900;
 
@@ -81,7 +83,9 @@
             let urgent = self.first.len() + self.soon.len() > 0;
             let age = self.lazy.front().map(|(since, _)| now.saturating_duration_since(*since));
             let due = |least: Duration| age.is_some_and(|a| a >= least);
-            let subject = if let Some(subject) = self.first.pop().or_else(|| self.soon.pop()) {
+            let subject = if let Some(subject) = self.first.pop() {
+                subject
+            } else if let Some(subject) = self.next_soon(relaxed, now) {
                 subject
             } else if due(LAZIEST) {
                 Subject::Part(self.lazy.pop_front()?.1)
@@ -132,26 +136,62 @@
         }
     }
 
-    /// The next job or block without urgent work. While changes are scarce, each
+    /// The next job or part without urgent work. While changes are scarce, each
     /// has its turn at most once in a while, and more to commit then.
     fn next_dirty(&mut self, relaxed: bool, now: Instant) -> Option<Subject> {
-        for _ in 0..self.dirty.len() {
-            let subject = self.dirty.pop()?;
-            let turn = match &subject {
+        if relaxed { self.dirty.pop() } else { self.take_worthiest(false, now) }
+    }
+
+    fn next_soon(&mut self, relaxed: bool, now: Instant) -> Option<Subject> {
+        if relaxed { self.soon.pop() } else { self.take_worthiest(true, now) }
+    }
+
+    /// While changes are scarce, the one for which the most processors have
+    /// waited the longest goes first: one change more or less is as many
+    /// processors idle.
+    fn take_worthiest(&mut self, urgent: bool, now: Instant) -> Option<Subject> {
+        if self.worth.0.is_none_or(|at| now.saturating_duration_since(at) >= WORTH_LASTS) {
+            self.worth = (Some(now), self.worth_of_parts(now));
+        }
+        let (queue, worth) = (if urgent { &mut self.soon } else { &mut self.dirty }, &self.worth.1);
+        let (jobs, sent_at) = (&self.jobs, &self.sent_at);
+        queue.take_best(|subject| {
+            let sent =
+                sent_at.get(subject).map_or(10.0, |at| now.saturating_duration_since(*at).as_secs_f64());
+            let turn = match subject {
+                _ if urgent => Duration::ZERO,
                 Subject::Part(_) | Subject::Litter(_) => TURN,
-                Subject::Job(id) => match self.open_job(id) {
-                    Some(job) if job.spec.priority < Rank::Normal => URGENT_TURN,
+                Subject::Job(id) => match jobs.get(id) {
+                    Some(Job::Open(job)) if job.spec.priority < Rank::Normal => URGENT_TURN,
                     _ => JOB_TURN,
                 },
             };
-            let sent = self.sent_at.get(&subject);
-            let recent = sent.is_some_and(|at| now.saturating_duration_since(*at) < turn);
-            if relaxed || !recent {
-                return Some(subject);
+            if sent < turn.as_secs_f64() {
+                return -1.0;
+            }
+            match subject {
+                Subject::Part(id) => worth.get(id).copied().unwrap_or(0.0),
+                Subject::Job(id) => match jobs.get(id) {
+                    Some(Job::Open(job)) => job_worth(job) * sent.clamp(0.2, 10.0),
+                    _ => 0.0,
+                },
+                Subject::Litter(_) => 0.0,
+            }
+        })
+    }
+
+    /// Processors that are proposed in each part, by how long they have waited.
+    fn worth_of_parts(&self, now: Instant) -> HashMap<PartId, f64> {
+        let mut worth: HashMap<PartId, f64> = HashMap::new();
+        for machine in self.machines.values().filter(|m| self.is_holder(m.block)) {
+            for task in &machine.tasks {
+                let Some(job) = self.open_job(&task.job) else { continue };
+                let Some(p) = job.placed.get(&task.index).filter(|p| !p.committed) else { continue };
+                let waited = now.saturating_duration_since(p.since).as_secs_f64();
+                *worth.entry(p.home).or_default() += weight_of_rank(job) * waited.max(0.2);
             }
-            self.dirty.push(subject);
         }
-        None
+        worth
     }
 
     /// Whether something waits for its turn, or for company.
@@ -584,6 +624,20 @@
     }
 }
 
+/// What a task of a job counts among what waits: its processors, and replicas
+/// before all else.
+fn weight_of_rank(job: &OpenJob) -> f64 {
+    let cpus = job.need.amounts.cpus.max(1) as f64;
+    if job.is_service() { cpus * 1000.0 } else { cpus }
+}
+
+fn job_worth(job: &OpenJob) -> f64 {
+    let admitting: u32 = job.admitting.values().map(crate::ranges::Ranges::len).sum();
+    // Its end frees quota, and somebody waits for it.
+    let over = job.done.len() == job.record.tasks;
+    weight_of_rank(job) * f64::from(admitting + if over { job.record.tasks } else { 0 })
+}
+
 /// Adds a task to a record of what runs.
 fn add_task(record: &mut LoadRecord, names: &mut HashMap<Arc<str>, u32>, task: &TaskId, p: &Placed) {
     let jobs = &mut record.jobs;
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -132,6 +132,21 @@
         self.order.len()
     }
 
+    /// Takes the one with the highest score, of equal ones the first; none whose
+    /// score is below 0.
+    fn take_best(&mut self, score: impl Fn(&Subject) -> f64) -> Option<Subject> {
+        let mut best: Option<(usize, f64)> = None;
+        for (n, subject) in self.order.iter().enumerate() {
+            let own = score(subject);
+            if own >= 0.0 && best.is_none_or(|(_, most)| own > most) {
+                best = Some((n, own));
+            }
+        }
+        let subject = self.order.remove(best?.0)?;
+        self.members.remove(&subject);
+        Some(subject)
+    }
+
     fn pop(&mut self) -> Option<Subject> {
         let subject = self.order.pop_front()?;
         self.members.remove(&subject);
@@ -190,6 +205,8 @@
     sent_at: HashMap<Subject, Instant>,
     /// Blocks with nothing but ends of tasks to commit, since when.
     lazy: VecDeque<(Instant, PartId)>,
+    /// What each part has waiting to be committed, as of when.
+    worth: (Option<Instant>, HashMap<PartId, f64>),
     /// Units on their way, by number.
     on_way: HashMap<Subject, u64>,
     /// What has more to commit once its unit has ended.
@@ -281,6 +298,7 @@
             dirty: Queue::default(),
             sent_at: HashMap::new(),
             lazy: VecDeque::new(),
+            worth: (None, HashMap::new()),
             on_way: HashMap::new(),
             again: HashSet::new(),
             behind: HashMap::new(),
