--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -60,6 +60,8 @@
     pub urgent: bool,
     number: u64,
     proposals: Vec<(TaskId, Placed)>,
+    /// A part that is dropped with it, since another takes it in.
+    absorbed: Option<PartId>,
 }
 
 /// How a unit ended.
@@ -116,22 +118,33 @@
                 self.again.insert(subject);
                 continue;
             }
-            if let Subject::Part(id) = &subject
-                && self.loads.contains_key(&PartId::whole(id.block))
-            {
-                self.relieve(*id);
+            let mut absorbed = None;
+            if let Subject::Part(id) = &subject {
+                if self.loads.contains_key(&PartId::whole(id.block)) {
+                    self.relieve(*id);
+                } else {
+                    absorbed = self.absorb(*id);
+                }
             }
             let unit = match &subject {
                 Subject::Job(id) => self.job_unit(id),
                 Subject::Part(id) => self.part_unit(*id),
                 Subject::Litter(key) => self.litter_unit(key),
             };
-            if let Some((unit, proposals)) = unit {
+            if let Some((mut unit, proposals)) = unit {
                 self.units += 1;
                 let number = self.units;
+                if let Some(other) = absorbed {
+                    let version = self.loads.get(&other).map_or(0, |l| l.version);
+                    unit.conditions.push(Condition { key: other.key(), version });
+                    unit.changes.push(Change::Drop { key: other.key() });
+                    self.on_way.insert(Subject::Part(other), number);
+                }
                 self.on_way.insert(subject.clone(), number);
                 self.sent_at.insert(subject.clone(), now);
-                return Some(WorkUnit { subject, unit, urgent, number, proposals });
+                return Some(WorkUnit { subject, unit, urgent, number, proposals, absorbed });
+            } else if let (Some(other), Subject::Part(by)) = (absorbed, subject) {
+                self.restore(other, by);
             }
         }
     }
@@ -499,9 +512,17 @@
         if self.on_way.get(&unit.subject) == Some(&unit.number) {
             self.on_way.remove(&unit.subject);
         }
+        if let Some(other) = unit.absorbed {
+            self.on_way.remove(&Subject::Part(other));
+            self.again.remove(&Subject::Part(other));
+        }
+        let part = if let Subject::Part(id) = &unit.subject { Some(*id) } else { None };
         match end {
             UnitEnd::Committed(revision) => {
                 self.apply_changes(&unit.unit.changes, revision, now);
+                if let (Some(other), Some(by)) = (unit.absorbed, part) {
+                    self.absorbed(other, by, now);
+                }
                 // A machine can go while a placement on it is on its way.
                 let lost: BTreeSet<Arc<str>> = unit
                     .proposals
@@ -514,6 +535,11 @@
                 }
             }
             UnitEnd::NotMade => {
+                if let (Some(other), Some(by)) = (unit.absorbed, part)
+                    && self.is_holder(by.block)
+                {
+                    self.restore(other, by);
+                }
                 let mut jobs: BTreeSet<Arc<str>> = BTreeSet::new();
                 for (task, placed) in &unit.proposals {
                     self.withdraw_proposal(task, placed);
--- a/crates/dapplecroft-controller/src/core/loads.rs
+++ b/crates/dapplecroft-controller/src/core/loads.rs
@@ -171,6 +171,9 @@
             let weight = super::parts::weight(&record);
             self.loads.insert(id, Load { record, version, size, weight });
         }
+        if held && id.part.is_some() && !self.absorbs(id) {
+            self.follow_part(id);
+        }
         for id in &jobs {
             self.rederive(id);
             self.finish_if_over(id);
@@ -201,11 +204,12 @@
         }
     }
 
-    /// Tasks that a block's record has on a machine and this copy does not:
-    /// none, unless another block's newer record has them. For tests, and for
+    /// Tasks that two records have, and those that a record has on a machine and
+    /// this copy does not: none, unless another's newer record has them. For tests, and for
     /// when a copy is in doubt; it goes over all that runs.
     pub fn copy_faults(&self) -> Vec<String> {
         let mut faults = Vec::new();
+        let mut seen: BTreeMap<(&str, u32), PartId> = BTreeMap::new();
         for (part, load) in &self.loads {
             for (machine, spans) in tasks_of(&load.record) {
                 if part.part.is_none() && self.recorded_part(part.block, machine).is_some() {
@@ -214,6 +218,9 @@
                 for (id, span) in spans {
                     let Some(job) = self.open_job(id) else { continue };
                     for index in span.first..=span.last {
+                        if let Some(other) = seen.insert((id, index), *part).filter(|o| o != part) {
+                            faults.push(format!("{id}/{index} is in {other:?} and in {part:?}"));
+                        }
                         let placed = job.placed.get(&index);
                         let here = |p: &Placed| p.attempt == span.attempt && *p.machine == *machine;
                         let moved = |p: &Placed| {
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -227,6 +227,8 @@
     pub loads: BTreeMap<PartId, Load>,
     /// What proposals add to the weight of parts.
     pending: BTreeMap<PartId, usize>,
+    /// Parts that others are about to take in.
+    absorbing: BTreeSet<PartId>,
     /// What was proposed last, and where.
     weighed: Option<(PartId, TaskId)>,
     /// What parts take over from records of the first layout.
@@ -304,6 +306,7 @@
             behind: HashMap::new(),
             loads: BTreeMap::new(),
             pending: BTreeMap::new(),
+            absorbing: BTreeSet::new(),
             weighed: None,
             inherited: BTreeMap::new(),
             folds: HashMap::new(),
--- a/crates/dapplecroft-controller/src/core/parts.rs
+++ b/crates/dapplecroft-controller/src/core/parts.rs
@@ -7,12 +7,13 @@
 //! those that do are recorded first, and the others as neighbours join
 //! ([`Core::new_load`]). So no order of ends can make a record outgrow a value.
 
-use super::Core;
+use super::{Core, Subject};
 use crate::jobs::{Placed, TaskId};
 use crate::machines::Machine;
 use crate::records::{LoadRecord, PartId, stored_size};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Instant;
 
 /// The part of a value's limit that a record's weight may reach.
 const FULL: f64 = 0.92;
@@ -22,6 +23,8 @@
 /// has: the fewer parts, the fewer changes, but one that has no room left keeps
 /// its machines from taking work.
 const JOIN: f64 = 0.8;
+/// Two parts become one if they weigh no more than this together.
+const MERGE: f64 = 0.55;
 /// What a machine is taken to weigh while none has anything.
 const USUAL: usize = 60;
 /// What a group of neighbours takes, and what its ends may add.
@@ -186,6 +189,100 @@
         sum
     }
 
+    /// Takes another part of the block into this one if both together leave
+    /// enough room: the fewer parts, the fewer changes. The other one is dropped
+    /// in the transaction that writes this one.
+    pub(super) fn absorb(&mut self, id: PartId) -> Option<PartId> {
+        let part = id.part?;
+        let (own, most) = (self.part_weight(&id), (self.limits().value as f64 * MERGE) as usize);
+        let of = PartId::new(id.block, 0)..=PartId::new(id.block, u32::MAX);
+        let lightest = self
+            .loads
+            .range(of)
+            .map(|(other, _)| *other)
+            .filter(|other| *other != id && !self.on_way.contains_key(&Subject::Part(*other)))
+            .min_by_key(|other| self.part_weight(other))?;
+        if self.limits().changes < 2 || own + self.part_weight(&lightest) > most {
+            return None;
+        }
+        let record = self.loads.get(&lightest).map(|l| l.record.clone())?;
+        self.inherited.insert(id, super::moving::Inherited { done: record.done, tries: record.tries });
+        let moved = |m: &&mut Machine| m.block == id.block && m.part == lightest.part;
+        for machine in self.machines.values_mut().filter(moved) {
+            machine.part = Some(part);
+        }
+        self.rehome(id.block);
+        self.pending.remove(&lightest);
+        self.absorbing.insert(lightest);
+        Some(lightest)
+    }
+
+    /// Whether a part is being taken in by another just now.
+    pub(super) fn absorbs(&self, id: PartId) -> bool {
+        self.absorbing.contains(&id)
+    }
+
+    /// Ends of a part that another has taken in are recorded there.
+    pub(super) fn absorbed(&mut self, other: PartId, by: PartId, now: Instant) {
+        self.absorbing.remove(&other);
+        self.lazy.retain(|(_, id)| *id != other);
+        self.lazy.push_back((now, by));
+        self.wakes.flush = true;
+    }
+
+    /// The same if it was not made after all: what a record says of its machines
+    /// counts.
+    pub(super) fn restore(&mut self, other: PartId, by: PartId) {
+        self.inherited.remove(&by);
+        self.absorbing.remove(&other);
+        let Some(record) = self.loads.get(&other).map(|l| l.record.machines.clone()) else { return };
+        for name in record.keys() {
+            if let Some(machine) = self.machines.get_mut(name.as_str()) {
+                machine.part = other.part;
+            }
+        }
+        self.rehome(other.block);
+        self.mark_part(other, false);
+    }
+
+    /// As holder, puts machines into the part whose record has just been found to
+    /// have them. No two may speak for one machine.
+    pub(super) fn follow_part(&mut self, id: PartId) {
+        let Some(record) = self.loads.get(&id).map(|l| &l.record.machines) else { return };
+        let mut moved = false;
+        for name in record.keys() {
+            if let Some(machine) = self.machines.get_mut(name.as_str())
+                && machine.block == id.block
+                && machine.part != id.part
+            {
+                machine.part = id.part;
+                moved = true;
+            }
+        }
+        if moved {
+            self.rehome(id.block);
+        }
+    }
+
+    /// What is proposed on a machine is recorded in the part that it is in.
+    fn rehome(&mut self, block: u32) {
+        let proposed: Vec<(TaskId, Option<u32>)> = self
+            .machines
+            .values()
+            .filter(|m| m.block == block)
+            .flat_map(|m| m.tasks.iter().map(|t| (t.clone(), m.part)))
+            .collect();
+        for (task, part) in proposed {
+            let Some(job) = self.open_job_mut(&task.job) else { continue };
+            let Some(p) = job.placed.get_mut(&task.index).filter(|p| !p.committed) else { continue };
+            let home = PartId { block, part };
+            if p.home != home && part.is_some() {
+                p.home = home;
+                self.mark_part(home, false);
+            }
+        }
+    }
+
     /// Sends machines that no record of a part has yet to other parts until what
     /// runs on the rest fits a value: what is committed must always fit, and only
     /// what moves here from a record of the first layout may turn out not to.
@@ -281,5 +378,6 @@
             machine.part = parts.get(&machine.id).copied();
         }
         self.pending.retain(|id, _| id.block != block);
+        self.absorbing.retain(|id| id.block != block);
     }
 }
--- a/crates/dapplecroft-controller/src/core/roles.rs
+++ b/crates/dapplecroft-controller/src/core/roles.rs
@@ -141,10 +141,19 @@
         let sizes = self.block_sizes();
         let all: usize = sizes.values().sum();
         let own: usize = self.role.holdings.keys().filter_map(|b| sizes.get(b)).sum();
-        let held = match all {
+        let machines = match all {
             0 => f64::from(u8::from(self.role.leadership.is_some())),
             _ => own as f64 / all as f64,
         };
+        // Many small tasks take more changes than a few large ones.
+        let bytes = |mine: bool| -> usize {
+            let of = self.loads.iter().filter(|(id, _)| !mine || self.is_holder(id.block));
+            of.map(|(_, l)| l.size).sum()
+        };
+        let held = match bytes(false) {
+            0 => machines,
+            all => (machines + bytes(true) as f64 / all as f64) / 2.0,
+        };
         0.24 / nodes + 0.22 * f64::from(u8::from(self.role.leadership.is_some())) + 0.54 * held
     }
 }
--- a/crates/dapplecroft-controller/tests/stories/limits.rs
+++ b/crates/dapplecroft-controller/tests/stories/limits.rs
@@ -168,6 +168,49 @@
     c.assert_day_ends(&["run-1", "run-2"]).await;
 }
 
+/// The fewer parts, the fewer changes: those that have become light join.
+#[tokio::test(start_paused = true)]
+async fn parts_that_have_become_light_join_and_nothing_on_them_is_lost() {
+    for gap in [0.0, 0.7, 2.0] {
+        let jobs: Vec<String> = (0..60).map(|k| format!("run-1{k:036}")).collect();
+        let adjust = |t: &mut WorkerTiming| {
+            for (k, id) in jobs.iter().enumerate() {
+                t.runs.insert(id.clone(), Duration::from_secs(if k % 10 == 0 { 200 } else { 25 }));
+            }
+        };
+        let options = Options { block_machines: Some(60), ..Options::default() };
+        let c = Cluster::custom(40, adjust, options, next(), |_| {}).await;
+        c.until("the switch", || c.is_switched()).await;
+        c.state.limit(SMALL);
+        for id in &jobs {
+            c.submit(id, "free", 4, 2.0, "normal").await;
+        }
+        let parts = || c.state.keys("dc/q/").len();
+        let mut most = 0;
+        for step in 0..120 {
+            most = most.max(parts());
+            pause(0.5).await;
+            if gap > 0.0 && step % 20 == 10 {
+                let n = step / 20 % 3;
+                c.kill_node(n);
+                pause(gap).await;
+                c.start_node(n);
+            }
+            c.assert_rules_kept();
+        }
+        c.submit("run-3", "free", 30, 2.0, "normal").await;
+        c.until_stage("run-3", "done").await;
+        assert!(most >= 3 && parts() * 2 <= most, "{} of {most} parts", parts());
+        for id in &jobs {
+            c.until_stage(id, "done").await;
+            assert!((0..4).all(|i| c.referee.starts(&format!("{id}/{i}")) == 1), "{id}");
+        }
+        let refused = c.state.refused();
+        assert_eq!((refused.values, refused.transactions), (0, 0), "{refused:?}");
+        c.assert_rules_kept();
+    }
+}
+
 /// Groups of machines that are too large to be written again.
 #[tokio::test(start_paused = true)]
 async fn outgrown_groups_of_machines_move_into_smaller_ones_and_none_is_lost() {
