--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -33,6 +33,8 @@
 /// Nothing more is placed in a block whose record of the first layout has so
 /// much of a value's limit: what is left is for the ends of what is placed.
 const SPARE: f64 = 0.7;
+/// How much more urgent work counts among what waits.
+const URGENT: f64 = 4.0;
 /// What is waiting in each part is counted anew so often.
 const WORTH_LASTS: Duration = Duration::from_millis(150);
 /// Bytes of a record of completed tasks.
@@ -82,12 +84,16 @@
             return None;
         }
         loop {
-            let urgent = self.first.len() + self.soon.len() > 0;
+            // While changes are scarce all that goes is what is worth most: none of
+            // it stands back behind what comes later.
+            let mut urgent = !relaxed;
             let age = self.lazy.front().map(|(since, _)| now.saturating_duration_since(*since));
             let due = |least: Duration| age.is_some_and(|a| a >= least);
             let subject = if let Some(subject) = self.first.pop() {
+                urgent = true;
                 subject
             } else if let Some(subject) = self.next_soon(relaxed, now) {
+                urgent = true;
                 subject
             } else if due(LAZIEST) {
                 Subject::Part(self.lazy.pop_front()?.1)
@@ -152,23 +158,23 @@
     /// The next job or part without urgent work. While changes are scarce, each
     /// has its turn at most once in a while, and more to commit then.
     fn next_dirty(&mut self, relaxed: bool, now: Instant) -> Option<Subject> {
-        if relaxed { self.dirty.pop() } else { self.take_worthiest(false, now) }
+        if relaxed { self.dirty.pop() } else { self.take_worthiest(now) }
     }
 
     fn next_soon(&mut self, relaxed: bool, now: Instant) -> Option<Subject> {
-        if relaxed { self.soon.pop() } else { self.take_worthiest(true, now) }
+        if relaxed { self.soon.pop() } else { self.take_worthiest(now) }
     }
 
     /// While changes are scarce, the one for which the most processors have
     /// waited the longest goes first: one change more or less is as many
     /// processors idle.
-    fn take_worthiest(&mut self, urgent: bool, now: Instant) -> Option<Subject> {
+    fn take_worthiest(&mut self, now: Instant) -> Option<Subject> {
         if self.worth.0.is_none_or(|at| now.saturating_duration_since(at) >= WORTH_LASTS) {
             self.worth = (Some(now), self.worth_of_parts(now));
         }
-        let (queue, worth) = (if urgent { &mut self.soon } else { &mut self.dirty }, &self.worth.1);
+        let worth = &self.worth.1;
         let (jobs, sent_at) = (&self.jobs, &self.sent_at);
-        queue.take_best(|subject| {
+        let score = |subject: &Subject, urgent: bool| {
             let sent =
                 sent_at.get(subject).map_or(10.0, |at| now.saturating_duration_since(*at).as_secs_f64());
             let turn = match subject {
@@ -190,7 +196,16 @@
                 },
                 Subject::Litter(_) => 0.0,
             }
-        })
+        };
+        // Work that is not urgent counts less, but a large admission of it still
+        // goes before a few urgent tasks: they would keep it back for ever.
+        let soon = self.soon.best(|s| score(s, true) * URGENT);
+        let dirty = self.dirty.best(|s| score(s, false));
+        if dirty.is_some_and(|(_, d)| soon.is_none_or(|(_, s)| d > s)) {
+            self.dirty.take(dirty?.0)
+        } else {
+            self.soon.take(soon?.0)
+        }
     }
 
     /// Processors that are proposed in each part, by how long they have waited.
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -132,9 +132,9 @@
         self.order.len()
     }
 
-    /// Takes the one with the highest score, of equal ones the first; none whose
-    /// score is below 0.
-    fn take_best(&mut self, score: impl Fn(&Subject) -> f64) -> Option<Subject> {
+    /// The position and score of the one with the highest score, of equal ones the
+    /// first; none whose score is below 0.
+    fn best(&self, score: impl Fn(&Subject) -> f64) -> Option<(usize, f64)> {
         let mut best: Option<(usize, f64)> = None;
         for (n, subject) in self.order.iter().enumerate() {
             let own = score(subject);
@@ -142,7 +142,12 @@
                 best = Some((n, own));
             }
         }
-        let subject = self.order.remove(best?.0)?;
+        best
+    }
+
+    /// Takes the one at a position.
+    fn take(&mut self, position: usize) -> Option<Subject> {
+        let subject = self.order.remove(position)?;
         self.members.remove(&subject);
         Some(subject)
     }
--- a/crates/dapplecroft-state/src/committer.rs
+++ b/crates/dapplecroft-state/src/committer.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
 
 /// The largest transaction that is put together, well under the service's limit.
 const MAX_BYTES: usize = 48 * 1024;
@@ -17,6 +18,8 @@
 const GROUP_SECONDS: f64 = 0.5;
 /// The part of a second's changes that is kept for what users wait for.
 const RESERVE: f64 = 0.3;
+/// What can wait is no longer put behind what can't after so long.
+const LATEST: Duration = Duration::from_secs(2);
 /// How long a group gathers while requests are scarce.
 const GATHER: Duration = Duration::from_millis(50);
 
@@ -49,6 +52,7 @@
     rank: Rank,
     /// Whether it goes without others: together they were refused.
     alone: bool,
+    since: Instant,
 }
 
 /// What goes before what.
@@ -138,7 +142,7 @@
                 self.urgent.notify_one();
             }
             let at = queue.iter().position(|w| w.rank > rank).unwrap_or(queue.len());
-            queue.insert(at, Waiting { unit, bytes, reply, rank, alone: false });
+            queue.insert(at, Waiting { unit, bytes, reply, rank, alone: false, since: Instant::now() });
         }
         self.wake.notify_one();
         result.await.unwrap_or_else(|_| UnitResult::Unknown("committer ended".into()))
@@ -290,7 +294,15 @@
     }
 
     fn next_rank(&self) -> Option<Rank> {
-        self.lock().front().map(|w| w.rank)
+        let mut queue = self.lock();
+        // What can wait must not wait for ever behind what comes and comes.
+        let old = |w: &Waiting| w.rank == Rank::Later && w.since.elapsed() >= LATEST;
+        if let Some(mut waiting) = queue.iter().position(old).and_then(|n| queue.remove(n)) {
+            waiting.rank = Rank::Soon;
+            let at = queue.iter().position(|w| w.rank > Rank::User).unwrap_or(queue.len());
+            queue.insert(at, waiting);
+        }
+        queue.front().map(|w| w.rank)
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, VecDeque<Waiting>> {
