--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -34,7 +34,7 @@
 /// much of a value's limit: what is left is for the ends of what is placed.
 const SPARE: f64 = 0.7;
 /// How much more urgent work counts among what waits.
-const URGENT: f64 = 4.0;
+const URGENT: f64 = 20.0;
 /// What is waiting in each part is counted anew so often.
 const WORTH_LASTS: Duration = Duration::from_millis(150);
 /// Bytes of a record of completed tasks.
