--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -1,15 +1,11 @@
 //! The wanted fleet, and what is to be done about the difference.
 
-use super::copy::CatalogPart;
-use super::layout::to_value;
 use super::{Core, GroupUnit};
 use crate::machines::{Fate, Machine};
-use crate::records::{self, GroupRecord, MemberRecord, stored_size};
+use crate::records::{GroupRecord, MemberRecord};
 use dapplecroft_cloud::MAX_RENT;
-use dapplecroft_sched::{Amounts, Need, Offer, Rental, Rooms, plan_rentals};
-use dapplecroft_state::Unit;
-use dapplecroft_wire::cloud::{Catalog, ListedMachine, RentRequest};
-use dapplecroft_wire::state::{Change, Condition};
+use dapplecroft_sched::{Amounts, Need, Rooms, plan_rentals};
+use dapplecroft_wire::cloud::{ListedMachine, RentRequest};
 use dapplecroft_wire::workers::Report;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -50,7 +46,7 @@
     began: Option<Instant>,
     requests: u64,
     renting: BTreeMap<String, (RentRequest, u32)>,
-    refused: HashMap<Kind, (Instant, u32)>,
+    pub(super) refused: HashMap<Kind, (Instant, u32)>,
     /// Machines whose release was answered and that a record still names.
     released: BTreeSet<Arc<str>>,
     /// Machines that report and that no record names.
@@ -92,107 +88,6 @@
 }
 
 impl Core {
-    /// Takes over the machine types; returns whether the record of them is
-    /// behind. Prices move all the time and are not recorded for that alone.
-    pub fn take_catalog(&mut self, catalog: Catalog) -> bool {
-        let plain = |c: &Catalog| {
-            let mut c = c.clone();
-            for hull in &mut c.hulls {
-                (hull.price, hull.spot_price) = (0.0, 0.0);
-            }
-            c
-        };
-        let changed = self.catalog.as_ref().is_none_or(|old| plain(old) != plain(&catalog));
-        let recorded = match self.recorded_types() {
-            Some(_) => true,
-            None => self.version(records::CATALOG) > 0,
-        };
-        let unrecorded = !recorded;
-        self.catalog = Some(catalog);
-        self.size_machines();
-        self.wakes.place = true;
-        changed || unrecorded
-    }
-
-    /// The records of the machine types that differ from what is recorded: one
-    /// that any version reads, or as many as it takes for each to fit a value.
-    pub fn catalog_units(&self, catalog: &Catalog) -> Vec<Unit> {
-        let set = |key: String, value| {
-            let conditions = vec![Condition { key: key.clone(), version: self.version(&key) }];
-            Unit { conditions, changes: vec![Change::Set { key, value, lease: None }] }
-        };
-        if self.is_mixed() {
-            return vec![set(records::CATALOG.into(), to_value(catalog))];
-        }
-        let limit = self.limits().value;
-        let mut parts: Vec<CatalogPart> = Vec::new();
-        for hull in &catalog.hulls {
-            let mut with = parts.pop().unwrap_or(CatalogPart { of: 1000, hulls: Vec::new() });
-            with.hulls.push(hull.clone());
-            if stored_size(&to_value(&with)) > limit && with.hulls.len() > 1 {
-                with.hulls.pop();
-                parts.push(with);
-                with = CatalogPart { of: 1000, hulls: vec![hull.clone()] };
-            }
-            parts.push(with);
-        }
-        parts.retain(|p| stored_size(&to_value(p)) <= limit);
-        let of = parts.len() as u32;
-        let parts = parts.into_iter().map(|p| CatalogPart { of, ..p }).zip(0..);
-        let changed = parts.filter(|(p, n)| self.catalog_parts.get(n) != Some(p));
-        changed.map(|(p, n)| set(records::catalog_key(n), to_value(&p))).collect()
-    }
-
-    fn offers(&self, now: Instant) -> Vec<Offer> {
-        let Some(catalog) = &self.catalog else { return Vec::new() };
-        let mut offers = Vec::new();
-        for hull in &catalog.hulls {
-            for zone in &hull.zones {
-                for spot in [false, true] {
-                    let kind = (hull.name.clone(), zone.clone(), spot);
-                    if self.fleet.refused.get(&kind).is_some_and(|(until, _)| *until > now) {
-                        continue;
-                    }
-                    offers.push(Offer {
-                        machine_type: hull.name.clone(),
-                        zone: zone.clone(),
-                        spot,
-                        capacity: Amounts::new(hull.cpus, hull.gpus, hull.memory_gb),
-                        price: if spot { hull.spot_price } else { hull.price },
-                        boot_s: hull.boot_s,
-                    });
-                }
-            }
-        }
-        offers
-    }
-
-    fn boot_time(&self, machine_type: &str) -> Duration {
-        let hull = self.catalog.as_ref().and_then(|c| c.hulls.iter().find(|h| h.name == machine_type));
-        Duration::from_secs_f64(hull.map_or(60.0, |h| h.boot_s.clamp(1.0, 3600.0)))
-    }
-
-    /// How long idle machines are kept by type and kind: two boot times for what
-    /// is cheapest per CPU, and proportionally less for what costs more.
-    fn idle_times(&self) -> BTreeMap<(String, bool), Duration> {
-        let Some(catalog) = &self.catalog else { return BTreeMap::new() };
-        let rates: Vec<((String, bool), f64, f64)> = catalog
-            .hulls
-            .iter()
-            .flat_map(|t| [(t, false, t.price), (t, true, t.spot_price)])
-            .filter(|(t, _, price)| t.cpus > 0.0 && *price > 0.0)
-            .map(|(t, spot, price)| ((t.name.clone(), spot), price / t.cpus, t.boot_s))
-            .collect();
-        let lowest = rates.iter().map(|(_, rate, _)| *rate).fold(f64::INFINITY, f64::min);
-        rates
-            .into_iter()
-            .map(|(kind, rate, boot_s)| {
-                let seconds = (boot_s * 2.0 * lowest / rate).clamp(1.0, 3600.0);
-                (kind, Duration::from_secs_f64(seconds))
-            })
-            .collect()
-    }
-
     /// Compares the wanted fleet with the known one.
     pub fn fleet_step(&mut self, now: Instant) -> FleetActions {
         let mut actions = FleetActions::default();
@@ -288,50 +183,6 @@
         needs
     }
 
-    /// Machines on which replicas of services are.
-    fn replica_machines(&self) -> BTreeSet<Arc<str>> {
-        let jobs = self.open.iter().filter_map(|id| self.open_job(id)).filter(|j| j.is_service());
-        jobs.flat_map(|j| j.placed.values().filter(|p| p.committed).map(|p| p.machine.clone())).collect()
-    }
-
-    /// How many ordinary machines are kept up for services: they must start
-    /// within seconds, and no machine boots as quickly.
-    fn standby(&self) -> usize {
-        let expected = self.settings.expects_services() && !self.is_mixed();
-        if expected { self.options.standby_machines } else { 0 }
-    }
-
-    /// The machines that are kept for that: the same ones at every node.
-    fn standby_machines(&self) -> BTreeSet<Arc<str>> {
-        let mut names: Vec<&Arc<str>> = self
-            .machines
-            .values()
-            .filter(|m| !m.spot && m.group.is_some() && m.fate == Fate::Keep && !m.given_up)
-            .map(|m| &m.id)
-            .collect();
-        names.sort_unstable();
-        names.into_iter().take(self.standby()).cloned().collect()
-    }
-
-    /// The kind of machine to rent for services to come, and how many: the one
-    /// that is up soonest and has an image soonest.
-    fn standby_rental(&self, offers: &[Offer]) -> Option<Rental> {
-        let ordinary = |r: &Rooms| if r.spot { 0 } else { r.count };
-        let there: i64 = self.coming().iter().map(ordinary).sum();
-        let missing = (self.standby() as i64 - there).max(0) as u32;
-        let catalog = self.catalog.as_ref()?;
-        let fetch = |name: &str| {
-            let hull = catalog.hulls.iter().find(|h| h.name == name);
-            1.0 / hull.map_or(0.0, |h| h.fetch_gb_per_s).max(0.001)
-        };
-        let ordinary = offers.iter().enumerate().filter(|(_, o)| !o.spot);
-        let best = ordinary.min_by(|(_, a), (_, b)| {
-            let soon = |o: &Offer| o.boot_s + fetch(&o.machine_type);
-            soon(a).total_cmp(&soon(b))
-        });
-        best.filter(|_| missing > 0).map(|(offer, _)| Rental { offer, count: missing })
-    }
-
     /// Decides the fate of each machine of own blocks, and which are to be
     /// probed; returns those that are due to be released.
     fn judge_machines(&mut self, actions: &mut FleetActions, now: Instant) -> BTreeSet<Arc<str>> {
@@ -468,7 +319,7 @@
     /// by kind and room. Those that are up count too: a machine that has just
     /// come up gets its tasks in the next round, and nothing must be rented for
     /// them meanwhile.
-    fn coming(&self) -> Vec<Rooms> {
+    pub(super) fn coming(&self) -> Vec<Rooms> {
         let mut kinds: BTreeMap<(&str, &str, bool, i64, i64, i64), i64> = BTreeMap::new();
         for machine in self.machines.values() {
             let lost = machine.fate != Fate::Keep
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -13,10 +13,13 @@
 mod layout;
 mod loads;
 mod moving;
+mod offers;
 mod parts;
 mod placing;
 mod roles;
 mod session;
+mod units;
+mod worth;
 
 pub use blocks::{Holding, Lease};
 pub use commit::{Subject, UnitEnd, WorkUnit};
