--- a/crates/dapplecroft-controller/tests/stories/cluster.rs
+++ b/crates/dapplecroft-controller/tests/stories/cluster.rs
@@ -235,25 +235,18 @@
     /// Submits at any node until it is accepted.
     pub async fn submit(&self, id: &str, team: &str, tasks: u32, cpus: f64, rank: &str) {
         self.referee.job(id, team, cpus);
-        let body = job(id, team, tasks, cpus, rank);
-        for attempt in 0..60 {
-            let (status, answer) = self.call(attempt % NODES, Method::POST, "/v2/runs", &body).await;
-            if status == 201 || status == 200 {
-                self.referee.accepted(id);
-                return;
-            }
-            assert_eq!(status, 503, "{answer}");
-            sleep(Duration::from_secs(1)).await;
-        }
-        panic!("{id} is not accepted");
+        self.hand_in(id, &job(id, team, tasks, cpus, rank)).await;
     }
 
-    /// Submits a service at any node until it is accepted.
+    /// The same for a service.
     pub async fn serve(&self, id: &str, team: &str, replicas: u32, cpus: f64) {
         self.referee.service(id, team, cpus, replicas);
-        let body = service(id, team, replicas, cpus);
-        for attempt in 0..120 {
-            let (status, answer) = self.call(attempt % NODES, Method::POST, "/v2/runs", &body).await;
+        self.hand_in(id, &service(id, team, replicas, cpus)).await;
+    }
+
+    async fn hand_in(&self, id: &str, body: &Value) {
+        for attempt in 0..60 {
+            let (status, answer) = self.call(attempt % NODES, Method::POST, "/v2/runs", body).await;
             if status == 201 || status == 200 {
                 self.referee.accepted(id);
                 return;
