--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -59,30 +59,39 @@
 impl Core {
     /// The next unit to commit, of anything that has none on its way. What ends
     /// jobs goes first, then admissions and placements. Ends of other tasks
-    /// wait for company, unless changes are plenty (`relaxed`).
-    pub fn next_unit(&mut self, relaxed: bool, now: Instant) -> Option<WorkUnit> {
+    /// wait for company, unless changes are plenty (`relaxed`). While they are
+    /// scarce, what is worth most goes before what is worth less.
+    pub fn next_unit(&mut self, relaxed: bool, only_urgent: bool, now: Instant) -> Option<WorkUnit> {
         if !self.has_role() {
             return None;
         }
         loop {
-            // While changes are scarce all that goes is what is worth most: none of
-            // it stands back behind what comes later.
-            let mut urgent = !relaxed;
+            let mut urgent = true;
             let age = self.lazy.front().map(|(since, _)| now.saturating_duration_since(*since));
             let due = |least: Duration| age.is_some_and(|a| a >= least);
             let subject = if let Some(subject) = self.first.pop() {
-                urgent = true;
                 subject
-            } else if let Some(subject) = self.next_soon(relaxed, now) {
-                urgent = true;
+            } else if !relaxed && !only_urgent && due(LAZIEST) {
+                urgent = false;
+                Subject::Part(self.lazy.pop_front()?.1)
+            } else if relaxed && let Some(subject) = self.soon.pop() {
+                subject
+            } else if !relaxed && let Some((subject, soon)) = self.take_worthiest(only_urgent, now) {
+                urgent = soon;
                 subject
+            } else if only_urgent {
+                return None;
             } else if due(LAZIEST) {
+                urgent = false;
                 Subject::Part(self.lazy.pop_front()?.1)
-            } else if let Some(subject) = self.next_dirty(relaxed, now) {
+            } else if relaxed && let Some(subject) = self.dirty.pop() {
+                urgent = false;
                 subject
             } else if due(if relaxed { Duration::ZERO } else { LAZY }) {
+                urgent = false;
                 Subject::Part(self.lazy.pop_front()?.1)
             } else if let Some(key) = self.next_litter(relaxed) {
+                urgent = false;
                 Subject::Litter(key)
             } else {
                 return None;
@@ -136,12 +145,6 @@
         }
     }
 
-    /// The next job or part without urgent work. While changes are scarce, each
-    /// has its turn at most once in a while, and more to commit then.
-    fn next_dirty(&mut self, relaxed: bool, now: Instant) -> Option<Subject> {
-        if relaxed { self.dirty.pop() } else { self.take_worthiest(now) }
-    }
-
     /// Whether something waits for its turn, or for company.
     pub fn has_lazy(&self) -> bool {
         !self.lazy.is_empty() || self.dirty.len() > 0
@@ -186,7 +189,10 @@
         let more = job.exits.values().filter(|e| e.done).count() as u32;
         // A replica is wanted again as soon as its end is committed.
         if !job.is_open() || job.is_service() || job.done.len() + more >= job.record.tasks {
-            self.first.push(Subject::Part(part));
+            // With the last one, earlier ends that still wait for company.
+            let ended = job.exits.keys().filter_map(|i| job.placed.get(i)).map(|p| p.home);
+            let parts: BTreeSet<PartId> = ended.chain([part]).collect();
+            parts.into_iter().for_each(|part| self.first.push(Subject::Part(part)));
         } else if !self.lazy.iter().any(|(_, p)| *p == part) {
             self.lazy.push_back((now, part));
         }
--- a/crates/dapplecroft-controller/src/core/worth.rs
+++ b/crates/dapplecroft-controller/src/core/worth.rs
@@ -21,14 +21,13 @@
 const URGENT: f64 = 20.0;
 
 impl Core {
-    pub(super) fn next_soon(&mut self, relaxed: bool, now: Instant) -> Option<Subject> {
-        if relaxed { self.soon.pop() } else { self.take_worthiest(now) }
-    }
-
     /// While changes are scarce, the one for which the most processors have
     /// waited the longest goes first: one change more or less is as many
     /// processors idle.
-    pub(super) fn take_worthiest(&mut self, now: Instant) -> Option<Subject> {
+    ///
+    /// It is told with whether it is urgent: the others leave a part of each burst
+    /// for that.
+    pub(super) fn take_worthiest(&mut self, only_urgent: bool, now: Instant) -> Option<(Subject, bool)> {
         if self.worth.0.is_none_or(|at| now.saturating_duration_since(at) >= WORTH_LASTS) {
             self.worth = (Some(now), self.worth_of_parts(now));
         }
@@ -61,10 +60,10 @@
         // goes before a few urgent tasks: they would keep it back for ever.
         let soon = self.soon.best(|s| score(s, true) * URGENT);
         let dirty = self.dirty.best(|s| score(s, false));
-        if dirty.is_some_and(|(_, d)| soon.is_none_or(|(_, s)| d > s)) {
-            self.dirty.take(dirty?.0)
+        if !only_urgent && dirty.is_some_and(|(_, d)| soon.is_none_or(|(_, s)| d > s)) {
+            Some((self.dirty.take(dirty?.0)?, false))
         } else {
-            self.soon.take(soon?.0)
+            Some((self.soon.take(soon?.0)?, true))
         }
     }
 
--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -75,8 +75,14 @@
             // its job has to commit by then.
             // Records of machines wait there as well; they must not keep these out.
             let others = self.with(|core| core.groups_on_way());
-            while self.committer.waiting() < self.committer.enough() + others {
-                let Some(unit) = self.with(|core| core.next_unit(relaxed, now())) else { break };
+            let enough = self.committer.enough();
+            loop {
+                // What can wait leaves room for what can't, in the queue as well.
+                let full = self.committer.waiting() >= enough + others;
+                if full && self.committer.waiting_soon() >= enough {
+                    break;
+                }
+                let Some(unit) = self.with(|core| core.next_unit(relaxed, full, now())) else { break };
                 let node = self.clone();
                 // It joins the queue at its first poll.
                 let (queued, joined) = tokio::sync::oneshot::channel();
--- a/crates/dapplecroft-state/src/committer.rs
+++ b/crates/dapplecroft-state/src/committer.rs
@@ -104,6 +104,11 @@
         self.lock().len()
     }
 
+    /// How many of them go before what can wait.
+    pub fn waiting_soon(&self) -> usize {
+        self.lock().iter().filter(|w| w.rank < Rank::Later).count()
+    }
+
     /// Waits until a group was taken from the queue.
     pub async fn taken(&self) {
         self.taken.notified().await;
