--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -206,7 +206,10 @@
         }
         if let Some(other) = unit.absorbed {
             self.on_way.remove(&Subject::Part(other));
-            self.again.remove(&Subject::Part(other));
+            if self.again.remove(&Subject::Part(other)) {
+                // An end there that can't wait, or what is proposed: it is here now.
+                self.again.insert(unit.subject.clone());
+            }
         }
         let part = if let Subject::Part(id) = &unit.subject { Some(*id) } else { None };
         match end {
--- a/crates/dapplecroft-controller/src/core/worth.rs
+++ b/crates/dapplecroft-controller/src/core/worth.rs
@@ -18,7 +18,7 @@
 /// What is waiting in each part is counted anew so often.
 const WORTH_LASTS: Duration = Duration::from_millis(150);
 /// How much more urgent work counts among what waits.
-const URGENT: f64 = 20.0;
+const URGENT: f64 = 8.0;
 
 impl Core {
     /// While changes are scarce, the one for which the most processors have
