Stories of the gap; the fakes learn to refuse one node, hang machines, copy reports

The state service refuses one holder alone, another controller confirms cancellations, then the state service is out for 59 s. Variants: refused for 0.5 to 10 s, a holder that does not lead, slow answers before, the leader killed and back, a machine that hangs and goes on.

The fakes' workers now end their tasks at the very moment their lease ends; before, up to a report later.

--- a/crates/dapplecroft-controller/tests/stories/cluster.rs
+++ b/crates/dapplecroft-controller/tests/stories/cluster.rs
@@ -25,7 +25,7 @@
 
 #[async_trait]
 impl Handler for Front {
-    async fn handle(&self, method: Method, path: &str, body: &[u8]) -> Response {
+    async fn handle(&self, _: &str, method: Method, path: &str, body: &[u8]) -> Response {
         let reply = self.0.handle(&method, path, body.to_vec().into()).await;
         Response { status: reply.status, body: reply.body.into() }
     }
--- a/crates/dapplecroft-controller/tests/stories/main.rs
+++ b/crates/dapplecroft-controller/tests/stories/main.rs
@@ -8,6 +8,7 @@
 mod ends;
 mod failures;
 mod fleet;
+mod gap;
 mod late;
 mod limits;
 mod restarts;
--- a/crates/dapplecroft-fakes/src/cloud.rs
+++ b/crates/dapplecroft-fakes/src/cloud.rs
@@ -189,7 +189,7 @@
 
 #[async_trait]
 impl Handler for FakeCloud {
-    async fn handle(&self, _: Method, path: &str, body: &[u8]) -> Response {
+    async fn handle(&self, _: &str, _: Method, path: &str, body: &[u8]) -> Response {
         sleep(Duration::from_millis(50)).await;
         if self.inner.lock().unwrap().outage {
             return answer(503, json!({"error": "trouble"}));
--- a/crates/dapplecroft-fakes/src/net.rs
+++ b/crates/dapplecroft-fakes/src/net.rs
@@ -12,17 +12,20 @@
 /// Something that answers at an address.
 #[async_trait]
 pub trait Handler: Send + Sync {
-    /// Answers a request.
-    async fn handle(&self, method: Method, path: &str, body: &[u8]) -> Response;
+    /// Answers a request from a host.
+    async fn handle(&self, from: &str, method: Method, path: &str, body: &[u8]) -> Response;
 }
 
 /// What becomes of a request that a rule matches.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Action {
     /// It is kept until [`Net::deliver`]; the sender hears nothing.
     Hold,
     /// It is carried out, but the sender hears nothing.
     LoseAnswer,
+    /// It is carried out and answered, and a copy is kept until
+    /// [`Net::deliver`] or [`Net::deliver_to`].
+    Copy,
     /// It is answered 503 and not carried out.
     Refuse,
     /// It never arrives.
@@ -81,7 +84,8 @@
 struct Inner {
     handlers: HashMap<String, Arc<dyn Handler>>,
     rules: Vec<Rule>,
-    held: Vec<Request>,
+    held: Vec<(String, Request)>,
+    matched: HashMap<Action, usize>,
 }
 
 /// The network.
@@ -131,20 +135,41 @@
         self.inner.lock().unwrap().held.len()
     }
 
+    /// How many requests a rule with this action has matched so far, so that a
+    /// story can tell that its trouble happened.
+    pub fn matched(&self, action: Action) -> usize {
+        self.inner.lock().unwrap().matched.get(&action).copied().unwrap_or(0)
+    }
+
     /// Delivers all that was held; nobody hears the answers. Returns their
     /// status codes.
     pub async fn deliver(&self) -> Vec<u16> {
         let held = std::mem::take(&mut self.inner.lock().unwrap().held);
         let mut codes = Vec::new();
-        for request in held {
-            let handler = self.inner.lock().unwrap().handlers.get(&request.address).cloned();
-            if let Some(handler) = handler {
-                codes.push(handler.handle(request.method, &request.path, &request.body).await.status);
+        for (from, request) in held {
+            codes.extend(self.hand_over(&from, &request.address, &request).await);
+        }
+        codes
+    }
+
+    /// Delivers all that was held to each of these addresses, wherever it was
+    /// sent. Returns the status codes.
+    pub async fn deliver_to(&self, addresses: &[String]) -> Vec<u16> {
+        let held = std::mem::take(&mut self.inner.lock().unwrap().held);
+        let mut codes = Vec::new();
+        for (from, request) in held {
+            for address in addresses {
+                codes.extend(self.hand_over(&from, address, &request).await);
             }
         }
         codes
     }
 
+    async fn hand_over(&self, from: &str, address: &str, request: &Request) -> Option<u16> {
+        let handler = self.inner.lock().unwrap().handlers.get(address).cloned()?;
+        Some(handler.handle(from, request.method.clone(), &request.path, &request.body).await.status)
+    }
+
     /// A host's connection to the network.
     pub fn port(self: &Arc<Self>, host: &str) -> Arc<dyn Transport> {
         Arc::new(Port { net: self.clone(), host: host.into() })
@@ -162,8 +187,9 @@
         })?;
         rule.times = rule.times.saturating_sub(1);
         let action = rule.action;
-        if action == Action::Hold {
-            inner.held.push(request.clone());
+        *inner.matched.entry(action).or_default() += 1;
+        if action == Action::Hold || action == Action::Copy {
+            inner.held.push((host.to_string(), request.clone()));
         }
         Some(action)
     }
@@ -182,11 +208,11 @@
             Some(Action::Hold | Action::Drop) => return silence().await,
             Some(Action::NoConnection) => return Err(Failure::NotSent("refused".into())),
             Some(Action::Refuse) => return Ok(Response { status: 503, body: Default::default() }),
-            Some(Action::LoseAnswer) | None => {}
+            Some(Action::LoseAnswer | Action::Copy) | None => {}
         }
         let handler = self.net.inner.lock().unwrap().handlers.get(&request.address).cloned();
         let Some(handler) = handler else { return Err(Failure::NotSent("nobody there".into())) };
-        let work = handler.handle(request.method.clone(), &request.path, &request.body);
+        let work = handler.handle(&self.host, request.method.clone(), &request.path, &request.body);
         let answer = timeout(request.timeout, work).await;
         sleep(Duration::from_millis(1)).await;
         match answer {
--- a/crates/dapplecroft-fakes/src/referee.rs
+++ b/crates/dapplecroft-fakes/src/referee.rs
@@ -20,6 +20,7 @@
     calm: Option<Instant>,
     services: BTreeMap<String, u32>,
     missing: HashMap<String, Instant>,
+    late_starts: Vec<String>,
 }
 
 /// A job about which no question is answered for so long after the end of all
@@ -165,6 +166,9 @@
         {
             inner.broken.push(format!("ran_cancelled: {task} starts on {machine}"));
         }
+        if inner.cancelled.contains_key(job_of(task)) {
+            inner.late_starts.push(format!("{task} starts on {machine}"));
+        }
         let key = (task.to_string(), attempt);
         if let Some(other) = inner.attempts.insert(key, machine.into()) {
             inner.broken.push(format!("attempt {attempt} of {task} ran on {other} and on {machine}"));
@@ -188,6 +192,12 @@
         }
     }
 
+    /// Tasks that started after their user was told that the job is cancelled. No
+    /// rule is broken by one whose command was on its way, if it is gone in time.
+    pub fn late_starts(&self) -> Vec<String> {
+        self.inner.lock().unwrap().late_starts.clone()
+    }
+
     /// A task has left its machine.
     pub fn ended(&self, task: &str, machine: &str) {
         let mut inner = self.inner.lock().unwrap();
--- a/crates/dapplecroft-fakes/src/state.rs
+++ b/crates/dapplecroft-fakes/src/state.rs
@@ -6,7 +6,7 @@
 use dapplecroft_wire::state::{Change, Transaction};
 use http::Method;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -25,6 +25,11 @@
     leases: BTreeMap<u64, (Duration, Instant)>,
     next_lease: u64,
     outage: bool,
+    /// Hosts that alone are refused.
+    barred: BTreeSet<String>,
+    /// How long an answer takes, by host.
+    slow: BTreeMap<String, Duration>,
+    turned_away: usize,
     largest: usize,
     changes: u64,
     largest_value: usize,
@@ -66,6 +71,12 @@
     Response { status, body: body.to_string().into_bytes().into() }
 }
 
+async fn wait(time: Duration) {
+    if !time.is_zero() {
+        sleep(time).await;
+    }
+}
+
 fn refused() -> Response {
     answer(503, json!({"error": "outage"}))
 }
@@ -91,6 +102,28 @@
         }
     }
 
+    /// Refuses one host alone from now on, or no longer: requests get 503, and
+    /// its open watches wait as they would in an outage.
+    pub fn bar(&self, host: &str, on: bool) {
+        let mut inner = self.inner.lock().unwrap();
+        if on {
+            inner.barred.insert(host.into());
+        } else {
+            inner.barred.remove(host);
+        }
+    }
+
+    /// Lets a host's requests take so long from now on: half of it until they
+    /// are carried out, half until they are answered.
+    pub fn slow(&self, host: &str, by: Duration) {
+        self.inner.lock().unwrap().slow.insert(host.into(), by);
+    }
+
+    /// How many requests were refused in an outage, or to a host that alone is.
+    pub fn turned_away(&self) -> usize {
+        self.inner.lock().unwrap().turned_away
+    }
+
     /// A key's value.
     pub fn value(&self, key: &str) -> Option<Value> {
         self.inner.lock().unwrap().keys.get(key).map(|e| e.data.clone())
@@ -213,7 +246,7 @@
         answer(200, json!({"items": items, "truncated": false, "ledger": inner.ledger}))
     }
 
-    async fn follow(&self, path: &str) -> Response {
+    async fn follow(&self, from_host: &str, path: &str) -> Response {
         let query = Query::new(path);
         let (prefix, from) = (query.text("starts"), query.number("from"));
         let end = Instant::now() + Duration::from_millis(query.number("wait_ms"));
@@ -236,7 +269,8 @@
                     })
                     .collect();
                 // An open watch remains open through an outage.
-                if !inner.outage && (!log.is_empty() || Instant::now() >= end) {
+                let shut = inner.outage || inner.barred.contains(from_host);
+                if !shut && (!log.is_empty() || Instant::now() >= end) {
                     return answer(200, json!({"ledger": inner.ledger, "log": log}));
                 }
             }
@@ -341,22 +375,26 @@
 
 #[async_trait]
 impl Handler for FakeState {
-    async fn handle(&self, method: Method, path: &str, body: &[u8]) -> Response {
-        {
-            let mut inner = self.inner.lock().unwrap();
-            inner.expire();
-            if inner.outage && !path.starts_with("/follow") {
-                return refused();
-            }
-        }
+    async fn handle(&self, from: &str, method: Method, path: &str, body: &[u8]) -> Response {
         if path.starts_with("/follow") {
-            return self.follow(path).await;
+            return self.follow(from, path).await;
         }
-        match path {
+        let half = self.inner.lock().unwrap().slow.get(from).copied().unwrap_or_default() / 2;
+        wait(half).await;
+        let answer = {
+            let mut inner = self.inner.lock().unwrap();
+            inner.expire();
+            let shut = inner.outage || inner.barred.contains(from);
+            inner.turned_away += usize::from(shut);
+            shut.then(refused)
+        };
+        let answer = answer.unwrap_or_else(|| match path {
             "/multi" => self.multi(body),
             p if p.starts_with("/grants") => self.lease(&method, p, body),
             p => self.read(p),
-        }
+        });
+        wait(half).await;
+        answer
     }
 }
 
--- a/crates/dapplecroft-fakes/src/worker.rs
+++ b/crates/dapplecroft-fakes/src/worker.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// How a worker behaves in time.
 #[derive(Debug, Clone)]
@@ -47,6 +47,10 @@
     notice: Option<Instant>,
     steward: usize,
     dead: bool,
+    /// Until when the machine hangs.
+    hangs: Option<Instant>,
+    /// For how long it has been made to hang so far, in all.
+    hung: Duration,
 }
 
 /// A worker.
@@ -66,7 +70,7 @@
     inner: Mutex<Inner>,
     changed: Notify,
     own: Weak<FakeWorker>,
-    reporting: Mutex<Option<JoinHandle<()>>>,
+    reporting: Mutex<Vec<JoinHandle<()>>>,
 }
 
 impl FakeWorker {
@@ -103,6 +107,8 @@
                 notice: None,
                 steward: 0,
                 dead: false,
+                hangs: None,
+                hung: Duration::ZERO,
             }),
             changed: Notify::new(),
             own: own.clone(),
@@ -110,16 +116,18 @@
         });
         net.serve(&address, worker.clone());
         let reporter = worker.clone();
-        *worker.reporting.lock().unwrap() = Some(tokio::spawn(async move { reporter.report_loop().await }));
+        let watch = worker.clone();
+        *worker.reporting.lock().unwrap() = vec![
+            tokio::spawn(async move { reporter.report_loop().await }),
+            tokio::spawn(async move { watch.lease_loop().await }),
+        ];
         worker
     }
 
     /// The machine and all that is on it are gone.
     pub fn destroy(&self) {
         self.net.remove(&self.address);
-        if let Some(reporting) = self.reporting.lock().unwrap().take() {
-            reporting.abort();
-        }
+        self.reporting.lock().unwrap().drain(..).for_each(|work| work.abort());
         let mut inner = self.inner.lock().unwrap();
         inner.dead = true;
         self.forget_tasks(&mut inner);
@@ -135,6 +143,39 @@
         self.changed.notify_one();
     }
 
+    /// The machine hangs for so long and then goes on where it was, unless its
+    /// lease has ended by then. What arrives meanwhile is taken up afterwards.
+    pub fn hang(&self, time: Duration) {
+        let mut inner = self.inner.lock().unwrap();
+        inner.hangs = Some(Instant::now() + time);
+        inner.hung += time;
+    }
+
+    /// Waits while the machine hangs.
+    async fn awake(&self) {
+        loop {
+            let hangs = self.inner.lock().unwrap().hangs;
+            match hangs.filter(|until| *until > Instant::now()) {
+                Some(until) => sleep_until(until).await,
+                None => return,
+            }
+        }
+    }
+
+    /// Runs for so long, not counting what the machine hangs.
+    async fn run_for(&self, time: Duration) {
+        let hung = || self.inner.lock().unwrap().hung;
+        let mut counted = hung();
+        sleep(time).await;
+        self.awake().await;
+        while hung() > counted {
+            let more = hung() - counted;
+            counted += more;
+            sleep(more).await;
+            self.awake().await;
+        }
+    }
+
     /// The cloud takes it in so many seconds.
     pub fn notice(&self, seconds: f64) {
         self.inner.lock().unwrap().notice = Some(Instant::now() + Duration::from_secs_f64(seconds));
@@ -169,6 +210,15 @@
         }
     }
 
+    /// Ends its tasks at the very moment at which its lease ends.
+    async fn lease_loop(&self) {
+        loop {
+            let end = self.inner.lock().unwrap().renewed + self.timing.lease + Duration::from_millis(1);
+            sleep_until(end).await;
+            self.check_lease();
+        }
+    }
+
     /// A report as of now.
     pub fn report(&self) -> Report {
         let mut inner = self.inner.lock().unwrap();
@@ -201,6 +251,7 @@
         loop {
             let _ = timeout(self.timing.report, self.changed.notified()).await;
             sleep(Duration::from_millis(300)).await;
+            self.awake().await;
             self.check_lease();
             let sent = Instant::now();
             let report = self.report();
@@ -215,9 +266,12 @@
                 one_of_many: false,
             };
             let answer = self.port.send(request).await;
+            self.awake().await;
+            // If it hung meanwhile, an answer as late as that counts for nothing.
+            let answer = answer.ok().filter(|_| sent.elapsed() < Duration::from_secs(4));
             self.check_lease();
             match answer {
-                Ok(r) if r.status == 200 => {
+                Some(r) if r.status == 200 => {
                     let orders: Orders = serde_json::from_slice(&r.body).unwrap();
                     let mut inner = self.inner.lock().unwrap();
                     if orders.token >= inner.token && report.session == inner.session {
@@ -229,7 +283,7 @@
                         self.execute(&mut inner, &orders.orders);
                     }
                 }
-                Ok(r) if r.status == 421 => {
+                Some(r) if r.status == 421 => {
                     let redirect: Redirect = serde_json::from_slice(&r.body).unwrap_or_default();
                     let named = redirect
                         .report_to
@@ -299,7 +353,7 @@
     }
 
     async fn work(&self, name: String, attempt: u64) {
-        sleep(self.timing.fetch).await;
+        self.run_for(self.timing.fetch).await;
         let job = name.rsplit_once('/').unwrap().0.to_string();
         self.set(&name, attempt, TaskState::Running, None);
         self.referee.started(&name, attempt, &self.machine);
@@ -309,7 +363,7 @@
             self.set(&name, attempt, TaskState::Exited, Some(ExitReason::Error));
             return;
         }
-        sleep(self.timing.runs.get(&job).copied().unwrap_or(Duration::from_secs(10))).await;
+        self.run_for(self.timing.runs.get(&job).copied().unwrap_or(Duration::from_secs(10))).await;
         self.referee.ended(&name, &self.machine);
         self.set(&name, attempt, TaskState::Exited, Some(ExitReason::Done));
     }
@@ -326,11 +380,28 @@
 
 #[async_trait]
 impl Handler for FakeWorker {
-    async fn handle(&self, method: Method, path: &str, body: &[u8]) -> Response {
+    async fn handle(&self, _: &str, method: Method, path: &str, body: &[u8]) -> Response {
+        let orders = (method == Method::POST && path == "/do").then(|| body.to_vec());
+        if self.inner.lock().unwrap().hangs.is_none_or(|until| until <= Instant::now()) {
+            return self.answer(orders);
+        }
+        // What reaches a machine that hangs is carried out when it goes on,
+        // whether anybody still waits for the answer or not.
+        let Some(me) = self.own.upgrade() else { return self.answer(orders) };
+        let later = tokio::spawn(async move {
+            me.awake().await;
+            me.answer(orders)
+        });
+        later.await.unwrap()
+    }
+}
+
+impl FakeWorker {
+    fn answer(&self, orders: Option<Vec<u8>>) -> Response {
         self.check_lease();
         let mut status = 200;
-        if method == Method::POST && path == "/do" {
-            let Ok(orders) = serde_json::from_slice::<DirectOrders>(body) else {
+        if let Some(body) = orders {
+            let Ok(orders) = serde_json::from_slice::<DirectOrders>(&body) else {
                 return Response { status: 400, body: json!({}).to_string().into_bytes().into() };
             };
             let mut inner = self.inner.lock().unwrap();
