Token counters never begin anew within an epoch; a block needs its holder's lease

A controller that is alone takes up its own blocks again after its lease has ended, under the epoch that they have: nobody leased them anew. The counters of its workers' tokens began at 0 then, and starts still on the wire from before, sent under higher ones, were carried out although the job was withdrawn and final.

Forgetting a worker raises its counter instead. The end of a command sent before that is passed over: it said that none was on its way while a newer one was. Blocks are taken up only with a lease: a process that had just stepped down took them back.

--- a/crates/dapplecroft-controller/src/core/blocks.rs
+++ b/crates/dapplecroft-controller/src/core/blocks.rs
@@ -153,6 +153,10 @@
     /// is known then, and nothing of theirs can be committed any more, since
     /// every such commit names the block's version.
     pub fn take_blocks(&mut self, now: Instant) {
+        if self.role.lease.is_none() {
+            // It has just stepped down: the leader sees nobody behind these blocks.
+            return;
+        }
         let taken: Vec<(u32, Holding)> = self
             .blocks
             .iter()
--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -440,7 +440,8 @@
     pub fn command_ended(&mut self, id: &str, sent: &DirectOrders, end: CommandEnd<'_>, now: Instant) {
         let Some(machine) = self.machines.get_mut(id) else { return };
         let Some(holding) = self.role.holdings.get(&machine.block).copied() else { return };
-        if machine.token(holding.epoch) >> 20 != sent.token >> 20 {
+        if !machine.is_present(sent.token, holding.epoch) {
+            // Sent before the block was lost, or taken up anew.
             return;
         }
         machine.commanding = false;
--- a/crates/dapplecroft-controller/src/machines.rs
+++ b/crates/dapplecroft-controller/src/machines.rs
@@ -55,8 +55,13 @@
     pub sequence: u64,
     /// The highest token that it says to have seen.
     pub seen_token: u64,
-    /// Raised when an outcome is unknown.
+    /// Raised when an outcome is unknown, and when all that was known of the
+    /// worker is forgotten: what was sent before is void then, also if the same
+    /// process goes on under the same epoch.
     pub counter: u64,
+    /// The counter when that was last forgotten: outcomes of commands under a
+    /// lower one say nothing any more.
+    floor: u64,
     /// When the cloud takes it away.
     pub taken_at: Option<Instant>,
     /// Tasks in its newest message.
@@ -107,6 +112,7 @@
             sequence: 0,
             seen_token: 0,
             counter: 0,
+            floor: 0,
             taken_at: None,
             reported: BTreeMap::new(),
             tasks: BTreeSet::new(),
@@ -141,6 +147,12 @@
         self.counter += 1;
     }
 
+    /// Whether a token was chosen since this process last forgot what it knew of
+    /// the worker.
+    pub fn is_present(&self, token: u64, epoch: u64) -> bool {
+        token >= (epoch << COUNTER_BITS) | self.floor && token <= self.token(epoch)
+    }
+
     /// Notes that it fetches an image, or (`there`) has it.
     pub fn note_image(&mut self, image: String, there: bool) {
         *self.images.entry(image).or_insert(there) |= there;
@@ -183,7 +195,8 @@
         self.session = 0;
         self.sequence = 0;
         self.seen_token = 0;
-        self.counter = 0;
+        self.raise_token();
+        self.floor = self.counter;
         self.reported.clear();
         self.commanding = false;
         self.command_after = None;
--- a/crates/dapplecroft-controller/tests/stories/cluster.rs
+++ b/crates/dapplecroft-controller/tests/stories/cluster.rs
@@ -238,6 +238,22 @@
         self.hand_in(id, &job(id, team, tasks, cpus, rank)).await;
     }
 
+    /// Submits at one node until it is accepted.
+    pub async fn submit_at(&self, n: usize, id: &str, team: &str, tasks: u32, cpus: f64) {
+        self.referee.job(id, team, cpus);
+        let body = job(id, team, tasks, cpus, "normal");
+        for _ in 0..60 {
+            let (status, answer) = self.call(n, Method::POST, "/v2/runs", &body).await;
+            if status == 201 || status == 200 {
+                self.referee.accepted(id);
+                return;
+            }
+            assert_eq!(status, 503, "{answer}");
+            sleep(Duration::from_secs(1)).await;
+        }
+        panic!("{id} is not accepted");
+    }
+
     /// The same for a service.
     pub async fn serve(&self, id: &str, team: &str, replicas: u32, cpus: f64) {
         self.referee.service(id, team, cpus, replicas);
