--- /dev/null
+++ b/crates/dapplecroft-controller/src/core/copy/tests.rs
@@ -0,0 +1,123 @@
+use super::*;
+use crate::options::Options;
+use dapplecroft_wire::settings::Settings;
+use dapplecroft_wire::state::Logged;
+use serde_json::json;
+
+fn core() -> Core {
+    let text = json!({"host_name": "c-0", "listen": "10.0.0.1:1", "back": "10.0.0.1:2",
+        "external": {"cloud": "10.0.0.2:1", "state": "10.0.0.2:2"},
+        "facts": {"nodes": 1, "teams": [{"name": "t"}],
+            "workers": {"report_s": 3.0, "lease_s": 27.0, "cancel_s": 47.0},
+            "state": {"rps": 100.0, "write_rps": 20.0, "value_kb": 8.0, "txn_ops": 12},
+            "cloud": {"rps": 5.0, "list_lag_s": 8.0}}});
+    let settings = Settings::parse(&text.to_string()).unwrap();
+    Core::new(settings.into(), Options::default(), "p".into())
+}
+
+fn job() -> Value {
+    json!({"stage": "open", "tasks": 4, "to": {"0": [[0, 3]]}, "spec": {"id": "run-1", "lane": "c",
+        "crew": "t", "form": "sweep", "rank": "normal", "shares": 4, "cpus": 1.0, "gpus": 0.0,
+        "memory_gb": 1.0, "reckon_s": 10.0}})
+}
+
+fn load() -> Value {
+    json!({"j": ["run-1"], "m": {"i-1": [[0, 1, 2]]}, "d": {"run-1": [[0, 0]]}})
+}
+
+fn assert_known(core: &Core) {
+    let job = core.open_job("run-1").unwrap();
+    assert_eq!(job.placed.keys().copied().collect::<Vec<_>>(), [1, 2]);
+    assert_eq!(job.done.iter().collect::<Vec<_>>(), [0]);
+    assert_eq!(job.waiting[&0].iter().collect::<Vec<_>>(), [3]);
+    assert_eq!(core.machines["i-1"].tasks.len(), 2);
+}
+
+#[test]
+fn what_runs_is_known_whichever_record_is_read_first() {
+    let now = Instant::now();
+    let mut one = core();
+    one.apply("dc/p/0", Some(load()), 9, now);
+    one.apply("dc/j/run-1", Some(job()), 5, now);
+    assert_known(&one);
+    // The same from a watch that tells of changes in no order.
+    let mut two = core();
+    let set = |key: &str, data: Value, version| Logged {
+        set: Some(key.into()),
+        drop: None,
+        data: Some(data),
+        version,
+    };
+    let log = vec![set("dc/p/0", load(), 9), set("dc/j/run-1", job(), 10)];
+    two.follow(Followed { revision: 10, log }, now);
+    assert_known(&two);
+}
+
+#[test]
+fn a_placement_has_the_session_of_its_record_whoever_proposed_the_same() {
+    let now = Instant::now();
+    let mut core = core();
+    core.apply("dc/j/run-1", Some(job()), 5, now);
+    let Some(Job::Open(open)) = core.jobs.get_mut("run-1") else { panic!("not open") };
+    open.placed.insert(
+        1,
+        Placed {
+            attempt: 1,
+            machine: "i-1".into(),
+            home: PartId::whole(0),
+            session: 1,
+            committed: false,
+            since: now,
+            running: None,
+            sent: 0,
+            stop: None,
+            freed: false,
+        },
+    );
+    core.apply("dc/p/0", Some(json!({"j": ["run-1"], "m": {"i-1": [[0, 1, 1, 1, 2]]}})), 9, now);
+    let placed = &core.open_job("run-1").unwrap().placed[&1];
+    assert_eq!((placed.committed, placed.session), (true, 2));
+}
+
+// After a cut, ten tasks ran twice: a block's newest record was read by
+// itself after a conflict, then the watch caught up with older ones.
+#[test]
+fn an_older_record_of_another_block_hides_no_task_that_a_newer_one_has() {
+    let now = Instant::now();
+    let mut core = core();
+    let mut admitted = job();
+    admitted["to"] = json!({"0": [[1, 3]], "8": [[0, 0]]});
+    core.apply("dc/j/run-1", Some(admitted), 200, now);
+    // The task has moved from block 0 to block 8.
+    core.apply("dc/p/8", Some(json!({"j": ["run-1"], "m": {"i-8": [[0, 0, 0, 2]]}})), 210, now);
+    let set =
+        |data: Value, version| Logged { set: Some("dc/p/0".into()), drop: None, data: Some(data), version };
+    let there = json!({"j": ["run-1"], "m": {"i-1": [[0, 0, 0]]}});
+    core.follow(Followed { revision: 150, log: vec![set(there, 150)] }, now);
+    let at = |core: &Core| core.open_job("run-1").unwrap().placed.get(&0).map(|p| (p.home.block, p.attempt));
+    assert_eq!(at(&core), Some((8, 2)));
+    assert!(core.machines.get("i-1").is_none_or(|m| m.tasks.is_empty()));
+    let gone = json!({"t": {"run-1": {"0": 1}}});
+    core.follow(Followed { revision: 220, log: vec![set(gone, 190)] }, now);
+    assert_eq!(at(&core), Some((8, 2)));
+    assert_eq!(core.open_job("run-1").unwrap().waiting_in(8), 0);
+    assert_eq!(core.machines["i-8"].tasks.len(), 1);
+}
+
+#[test]
+fn a_withdrawn_job_stays_counted_until_all_that_came_before_is_known() {
+    let now = Instant::now();
+    let mut core = core();
+    core.follow(Followed { revision: 5, log: Vec::new() }, now);
+    core.apply("dc/j/run-1", Some(job()), 5, now);
+    let used = |core: &Core| core.teams.get("t").map_or(0, |b| b.used.cpus);
+    assert_eq!(used(&core), 4000);
+    // The withdrawal is known before the placements that came before it.
+    let mut withdrawn = job();
+    withdrawn["stage"] = json!("withdrawn");
+    core.apply("dc/j/run-1", Some(withdrawn), 12, now);
+    assert_eq!(used(&core), 4000);
+    let log = vec![Logged { set: Some("dc/p/0".into()), drop: None, data: Some(load()), version: 9 }];
+    core.follow(Followed { revision: 12, log }, now);
+    assert_eq!(used(&core), 2000);
+}
--- a/crates/dapplecroft-controller/src/legacy.rs
+++ b/crates/dapplecroft-controller/src/legacy.rs
@@ -195,48 +195,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use serde_json::json;
-
-    // Values that the first version wrote; see `fixtures/README.md`.
-    const WRITTEN: &str = include_str!("../fixtures/first-layout.json");
-
-    #[test]
-    fn what_the_first_version_wrote_is_read_and_written_back_as_it_was() {
-        let written: BTreeMap<String, Value> = serde_json::from_str(WRITTEN).unwrap();
-        let mut seen = [0; 3];
-        for (key, value) in written {
-            let (again, kind) = match key.split('/').nth(1) {
-                Some("j") => (write_job(&read_job(value.clone()).unwrap()), 0),
-                Some("p") => (write_load(&read_load(value.clone()).unwrap()), 1),
-                Some("m") => (write_group(&read_group(value.clone()).unwrap()), 2),
-                _ => continue,
-            };
-            assert_eq!(again, value, "{key}");
-            seen[kind] += 1;
-        }
-        assert!(seen.iter().all(|n| *n > 1), "{seen:?}");
-    }
-
-    #[test]
-    fn the_second_layout_of_a_job_has_no_field_that_the_first_version_needs() {
-        let old = json!({"stage": "open", "tasks": 4, "to": {"0": [[0, 3]]}, "at": 5.0});
-        let record = read_job(old.clone()).unwrap();
-        assert_eq!(record.admitted[&0].len(), 4);
-        let new = serde_json::to_value(&record).unwrap();
-        assert_eq!(new, json!({"s": "open", "n": 4, "to": {"0": "0-3"}, "at": 5.0}));
-        assert!(serde_json::from_value::<OldJob>(new.clone()).is_err());
-        assert_eq!(read_job(new).unwrap(), record);
-    }
-
-    #[test]
-    fn spans_of_the_first_layout_are_as_short_as_they_can_be() {
-        for text in ["[3,7]", "[3,7,9]", "[3,7,7,2]", "[3,7,9,1,4]"] {
-            let numbers: Vec<u64> = serde_json::from_str(text).unwrap();
-            assert_eq!(write_span(&read_span(&numbers).unwrap()), numbers);
-        }
-        assert!(read_load(json!({"m": {"i-1": [[3]]}})).is_err());
-        assert!(read_load(json!({"m": {"i-1": [[3, 4294967296u64]]}})).is_err());
-    }
-}
+mod tests;
--- a/crates/dapplecroft-controller/tests/stories/meetings.rs
+++ b/crates/dapplecroft-controller/tests/stories/meetings.rs
@@ -1,6 +1,6 @@
 //! Two troubles at a time.
 
-use crate::cluster::{CANCEL, CLOUD, Cluster, STATE, address, host, pause};
+use crate::cluster::{Cluster, host, pause};
 use dapplecroft_controller::Options;
 use dapplecroft_fakes::{Action, Rule, WorkerTiming};
 use std::time::Duration;
--- /dev/null
+++ b/crates/dapplecroft-fakes/src/referee/tests.rs
@@ -0,0 +1,65 @@
+use super::*;
+use tokio::time::sleep;
+
+#[tokio::test(start_paused = true)]
+async fn a_broken_end_of_a_day_is_caught() {
+    let referee = Referee::new(Duration::from_secs(47));
+    for id in ["run-1", "run-2", "run-3", "run-4"] {
+        referee.job(id, if id == "run-1" { "a" } else { "b" }, 1.0);
+        referee.accepted(id);
+    }
+    referee.started("run-1/0", 1, "m");
+    referee.cancelled("run-2");
+    referee.calm();
+    assert_eq!(referee.day_ends(), ["unserved: 0 of 2 jobs of b"]);
+    sleep(Duration::from_secs(76)).await;
+    referee.answered("run-1");
+    referee.answered("run-3");
+    assert_eq!(referee.day_ends()[..2], ["forgotten: run-2", "forgotten: run-4"]);
+    sleep(Duration::from_secs(200)).await;
+    referee.started("run-4/0", 1, "m");
+    let ends = referee.day_ends();
+    assert!(ends.contains(&"late: run-3 did not begin in time".to_string()), "{ends:?}");
+    assert!(ends.contains(&"late: run-4 did not begin in time".to_string()), "{ends:?}");
+    assert!(!ends.iter().any(|e| e.contains("run-1")), "{ends:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_service_that_is_lost_or_called_done_is_caught() {
+    let referee = Referee::new(Duration::from_secs(10));
+    referee.limit("a", 4.0);
+    referee.service("run-1", "a", 2.0, 2);
+    referee.told("run-1", "running", 0);
+    referee.started("run-1/0", 1, "m");
+    assert_eq!(referee.missing(), ["run-1/1"]);
+    assert!(referee.lost(Duration::from_secs(5)).is_empty());
+    referee.calm();
+    sleep(Duration::from_secs(6)).await;
+    assert_eq!(referee.lost(Duration::from_secs(5)), ["run-1/1"]);
+    referee.started("run-1/1", 1, "m");
+    assert!(referee.lost(Duration::ZERO).is_empty() && referee.broken().is_empty());
+    referee.started("run-1/2", 1, "m");
+    referee.told("run-1", "done", 0);
+    referee.told("run-1", "running", 1);
+    let broken = referee.broken().join("; ");
+    assert!(broken.contains("quota") && broken.matches("not_done").count() == 2, "{broken}");
+    referee.cancelled("run-1");
+    assert!(referee.missing().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_broken_rule_is_caught() {
+    let referee = Referee::new(Duration::from_secs(10));
+    referee.limit("a", 2.0);
+    referee.job("run-1", "a", 2.0);
+    referee.started("run-1/0", 1, "m");
+    assert!(referee.broken().is_empty());
+    referee.started("run-1/0", 2, "n");
+    referee.started("run-1/1", 1, "n");
+    referee.cancelled("run-1");
+    sleep(Duration::from_secs(11)).await;
+    let broken = referee.broken().join("; ");
+    for rule in ["ran_twice", "quota", "ran_cancelled"] {
+        assert!(broken.contains(rule), "{rule}: {broken}");
+    }
+}
--- a/crates/dapplecroft-sched/src/teams.rs
+++ b/crates/dapplecroft-sched/src/teams.rs
@@ -81,24 +81,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn zero_means_no_limit_and_no_guarantee() {
-        let mut teams = Teams::new([
-            ("free".to_string(), Amounts::default(), Amounts::default()),
-            ("tight".to_string(), Amounts::new(4.0, 0.0, 0.0), Amounts::new(8.0, 0.0, 0.0)),
-        ]);
-        let task = Amounts::new(3.0, 0.0, 100.0);
-        teams.book("free", task.times(1000));
-        assert!(teams.get("free").unwrap().admits(&task));
-        assert!(!teams.get("free").unwrap().guarantees(&task));
-        teams.book("tight", task.times(2));
-        let tight = teams.get("tight").unwrap();
-        assert!(!tight.admits(&task) && tight.headroom(&task) == 0);
-        assert!(tight.beyond_guarantee() && tight.guarantees(&task));
-        teams.unbook("tight", task);
-        assert!(teams.get("tight").unwrap().admits(&task));
-    }
-}
+mod tests;
--- a/crates/dapplecroft/src/options.rs
+++ b/crates/dapplecroft/src/options.rs
@@ -82,25 +82,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn what_is_set_is_taken_and_the_rest_keeps_its_default() {
-        let options = parse("# a note\ndrain_trigger: 0.25 preempt: false\nidle_return_s: 30").unwrap();
-        assert_eq!(options.drain_trigger, 0.25);
-        assert!(!options.preempt);
-        assert_eq!(options.idle_return, Some(Duration::from_secs(30)));
-        assert_eq!(options.node_lease, Options::default().node_lease);
-    }
-
-    #[test]
-    fn bad_settings_are_refused_by_name() {
-        assert_eq!(
-            parse("drain_trigger: 1.5").unwrap_err().to_string(),
-            "drain_trigger: must be from 0 to 1, is 1.5"
-        );
-        assert!(parse("drain_triger: 1").unwrap_err().to_string().contains("drain_triger"));
-        assert!(parse("node_lease_s: nan").is_err());
-    }
-}
+mod tests;
