--- a/crates/dapplecroft-controller/tests/stories/cluster.rs
+++ b/crates/dapplecroft-controller/tests/stories/cluster.rs
@@ -25,7 +25,7 @@
 
 #[async_trait]
 impl Handler for Front {
-    async fn handle(&self, method: Method, path: &str, body: &[u8]) -> Response {
+    async fn handle(&self, _: &str, method: Method, path: &str, body: &[u8]) -> Response {
         let reply = self.0.handle(&method, path, body.to_vec().into()).await;
         Response { status: reply.status, body: reply.body.into() }
     }
@@ -238,6 +238,22 @@
         self.hand_in(id, &job(id, team, tasks, cpus, rank)).await;
     }
 
+    /// Submits at one node until it is accepted.
+    pub async fn submit_at(&self, n: usize, id: &str, team: &str, tasks: u32, cpus: f64) {
+        self.referee.job(id, team, cpus);
+        let body = job(id, team, tasks, cpus, "normal");
+        for _ in 0..60 {
+            let (status, answer) = self.call(n, Method::POST, "/v2/runs", &body).await;
+            if status == 201 || status == 200 {
+                self.referee.accepted(id);
+                return;
+            }
+            assert_eq!(status, 503, "{answer}");
+            sleep(Duration::from_secs(1)).await;
+        }
+        panic!("{id} is not accepted");
+    }
+
     /// The same for a service.
     pub async fn serve(&self, id: &str, team: &str, replicas: u32, cpus: f64) {
         self.referee.service(id, team, cpus, replicas);
