A withdrawn job is final at once only if all that came before is known

A node that had read a job by itself (after a conflict, or a question) may not know yet what was placed before: the leader takes a task back from a block while its holder places it, both are committed, and the withdrawal found nothing admitted and nothing placed. The job was final then and its task counted against no team, so that another could start beyond the limit. Now such a withdrawal is committed in its open form, and the leader makes it final once the copy has caught up.

--- a/crates/dapplecroft-controller/src/core/copy/tests.rs
+++ b/crates/dapplecroft-controller/src/core/copy/tests.rs
@@ -121,3 +121,27 @@
     core.follow(Followed { revision: 12, log }, now);
     assert_eq!(used(&core), 2000);
 }
+
+// The leader had taken a task back from a block just as it was placed there; a
+// node that had read the job by itself, and not that placement yet, made the
+// withdrawn job final: its task still ran, and counted against no team.
+#[test]
+fn a_withdrawal_is_final_only_once_all_that_came_before_is_known() {
+    let now = Instant::now();
+    let mut core = core();
+    core.follow(Followed { revision: 5, log: Vec::new() }, now);
+    core.apply("dc/j/run-1", Some(job()), 5, now);
+    let mut taken_back = job();
+    taken_back["to"] = json!({});
+    core.apply("dc/j/run-1", Some(taken_back.clone()), 12, now);
+    let is_final = |core: &Core| core.withdrawal("run-1").unwrap().0.spec.is_none();
+    assert!(!is_final(&core), "a placement at 9 may not be known yet");
+    let log = vec![Logged { set: Some("dc/p/0".into()), drop: None, data: Some(load()), version: 9 }];
+    core.follow(Followed { revision: 12, log }, now);
+    assert!(!core.open_job("run-1").unwrap().placed.is_empty() && !is_final(&core));
+    // The same without that placement.
+    let mut core = self::core();
+    core.apply("dc/j/run-1", Some(taken_back), 12, now);
+    core.follow(Followed { revision: 12, log: Vec::new() }, now);
+    assert!(is_final(&core));
+}
--- a/crates/dapplecroft-controller/src/core/units.rs
+++ b/crates/dapplecroft-controller/src/core/units.rs
@@ -174,6 +174,26 @@
         Some((Unit { conditions, changes }, proposals))
     }
 
+    /// The record of a job once its user has withdrawn it, and the version that it
+    /// replaces. If none of its tasks was admitted to a block, none was placed,
+    /// and none ever will be, since every placement is bound to the record: then
+    /// this is its final form already. That none was placed is certain only once
+    /// the copy has caught up with the record, which may have been read by itself:
+    /// what the leader took back from a block may have been placed there before.
+    pub fn withdrawal(&self, id: &str) -> Option<(JobRecord, u64)> {
+        let job = self.open_job(id)?;
+        let done = job.done.len();
+        let untouched = job.record.admitted.is_empty() && job.placed.is_empty();
+        let record = if untouched && job.version <= self.followed {
+            job.record.compact(JobStage::Withdrawn, done)
+        } else {
+            // What was admitted where is of no use any more, and may be long.
+            let (admitted, folded) = Default::default();
+            JobRecord { stage: JobStage::Withdrawn, done: Some(done), admitted, folded, ..job.record.clone() }
+        };
+        Some((record, job.version))
+    }
+
     /// What is to be committed of a job: admissions, what is taken back, its end.
     pub(super) fn job_unit(&self, id: &Arc<str>) -> Option<(Unit, Vec<(TaskId, Placed)>)> {
         let leadership = self.role.leadership.filter(|_| self.fleet.ready());
--- a/crates/dapplecroft-controller/src/users.rs
+++ b/crates/dapplecroft-controller/src/users.rs
@@ -1,6 +1,6 @@
 //! The users' interface.
 
-use crate::jobs::{Job, OpenJob};
+use crate::jobs::Job;
 use crate::node::{Answered, Node, Question, Reply, lock, now};
 use crate::records::{self, JobRecord, JobStage, stored_size};
 use bytes::Bytes;
@@ -227,7 +227,7 @@
                 return Reply::json(200, &status);
             }
             let key = records::job_key(id);
-            let Some((record, version)) = self.with(|core| core.open_job(id).map(withdrawn)) else {
+            let Some((record, version)) = self.with(|core| core.withdrawal(id)) else {
                 continue;
             };
             let value = self.with(|core| core.job_value(&record));
@@ -254,21 +254,6 @@
     }
 }
 
-/// The record of a job once its user has withdrawn it. If none of its tasks was
-/// admitted to a block, none was placed, and none ever will be, since every
-/// placement is bound to the record: then this is its final form already.
-fn withdrawn(job: &OpenJob) -> (JobRecord, u64) {
-    let done = job.done.len();
-    let record = if job.record.admitted.is_empty() && job.placed.is_empty() {
-        job.record.compact(JobStage::Withdrawn, done)
-    } else {
-        // What was admitted where is of no use any more, and may be long.
-        let (admitted, folded) = Default::default();
-        JobRecord { stage: JobStage::Withdrawn, done: Some(done), admitted, folded, ..job.record.clone() }
-    };
-    (record, job.version)
-}
-
 enum Judgement {
     Fits,
     Unknown,
