What is taken back from a block stays counted until the copy has caught up

The leader's record that takes tasks back is known to it at once, and a placement that its holder committed just before only with the watch. Meanwhile the tasks counted against no team, and others could be admitted in their place: over the limit. The job itself was guarded already (no new admission before), other jobs of the team were not.

--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -62,7 +62,7 @@
         let settled: Vec<Arc<str>> = self
             .unsettled
             .iter()
-            .filter(|id| self.open_job(id).is_none_or(|j| j.version <= followed))
+            .filter(|id| self.open_job(id).is_none_or(|j| j.settles_at() <= followed))
             .cloned()
             .collect();
         for id in settled {
@@ -294,6 +294,7 @@
                 }
                 if !job.revoking.is_empty() {
                     job.revoked = version;
+                    self.unsettled.insert(id.clone());
                 }
                 for (block, revoked) in &mut job.revoking {
                     let still = record.admitted.get(block).cloned().unwrap_or_default();
--- a/crates/dapplecroft-controller/src/core/copy/tests.rs
+++ b/crates/dapplecroft-controller/src/core/copy/tests.rs
@@ -145,3 +145,29 @@
     core.follow(Followed { revision: 12, log: Vec::new() }, now);
     assert!(is_final(&core));
 }
+
+// What the leader took back from a block was free for other jobs of the team at
+// once, although it may have been placed there just before.
+#[test]
+fn what_is_taken_back_stays_counted_until_all_that_came_before_is_known() {
+    let now = Instant::now();
+    let used = |core: &Core| core.teams.get("t").map_or(0, |b| b.used.cpus);
+    for placed in [false, true] {
+        let mut core = core();
+        core.follow(Followed { revision: 5, log: Vec::new() }, now);
+        core.apply("dc/j/run-1", Some(job()), 5, now);
+        let before = used(&core);
+        let all = core.open_job("run-1").unwrap().record.admitted.clone();
+        let Some(Job::Open(open)) = core.jobs.get_mut("run-1") else { panic!("not open") };
+        open.revoking = all;
+        let mut taken_back = job();
+        taken_back["to"] = json!({});
+        core.apply("dc/j/run-1", Some(taken_back), 12, now);
+        assert_eq!(used(&core), before, "not proven yet");
+        let set = Logged { set: Some("dc/p/0".into()), drop: None, data: Some(load()), version: 9 };
+        let log = if placed { vec![set] } else { Vec::new() };
+        core.follow(Followed { revision: 12, log }, now);
+        let runs = core.open_job("run-1").unwrap().placed.len() as i64;
+        assert_eq!((runs > 0, used(&core)), (placed, runs * 1000));
+    }
+}
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -222,7 +222,8 @@
     /// What waits for the end of another's unit.
     behind: HashMap<Subject, HashSet<Subject>>,
     units: u64,
-    /// Withdrawn jobs about which something earlier may not be known yet.
+    /// Jobs that were withdrawn, or of which something was taken back, and about
+    /// which something earlier may not be known yet.
     unsettled: BTreeSet<Arc<str>>,
     /// Machines, in an order that does not hang on chance.
     pub machines: IndexMap<Arc<str>, Machine, RandomState>,
@@ -397,10 +398,15 @@
     fn rederive(&mut self, id: &Arc<str>) {
         let Some(Job::Open(job)) = self.jobs.get_mut(id) else { return };
         job.derive();
-        // A withdrawal can be known before a placement that came before it: what
-        // was counted stays counted until the copy has caught up.
-        let settled = job.is_open() || job.version <= self.followed;
-        let counts = if settled { job.counts() } else { job.counted };
+        // A withdrawal, or what was taken back from a block, can be known before
+        // a placement that came before it: what was counted stays counted until
+        // the copy has caught up.
+        let settled = job.settles_at() <= self.followed;
+        let counts = match (settled, job.is_open()) {
+            (true, _) => job.counts(),
+            (false, true) => job.counts().max(job.counted),
+            (false, false) => job.counted,
+        };
         let change = counts - job.counted;
         job.counted = counts;
         let (team, amounts) = (job.spec.team.clone(), job.need.amounts);
--- a/crates/dapplecroft-controller/src/jobs.rs
+++ b/crates/dapplecroft-controller/src/jobs.rs
@@ -249,6 +249,12 @@
         }
     }
 
+    /// The revision up to which the copy must have caught up before what counts
+    /// against the team can be told for certain.
+    pub fn settles_at(&self) -> u64 {
+        if self.is_open() { self.revoked } else { self.version }
+    }
+
     /// Whether a task is admitted to a block, or is being admitted.
     pub fn admits(&self, block: u32, index: u32) -> bool {
         let within = |ranges: &BTreeMap<u32, Ranges>| ranges.get(&block).is_some_and(|r| r.contains(index));
