A job bound to zones leaves a block where nothing of it runs any more

What a block can't start is taken back after 8 s and admitted elsewhere, but not for jobs all of whose tasks have to be in one zone, or apart: one holder has to see all of them. One that lost its only machine waited in its empty block for as long as other machines idled (story: for 25 s and more; nothing was rented, since there was room). Once nothing of it is on any machine it may go. The block that is chosen next also counts what is on machines without being admitted: taken back just as it was placed.

--- a/crates/dapplecroft-controller/src/core/admission.rs
+++ b/crates/dapplecroft-controller/src/core/admission.rs
@@ -188,7 +188,11 @@
         if constrained {
             // Its constraints hold across all its tasks, so one holder has to
             // see all of them.
-            let used = job.record.admitted.keys().chain(job.admitting.keys()).next().copied();
+            // What was taken back from a block may be on a machine there all the
+            // same, placed just before.
+            let on = job.placed.values().map(|p| p.home.block);
+            let admitted = job.record.admitted.keys().chain(job.admitting.keys());
+            let used = on.chain(admitted.copied()).next();
             fits.retain(|f| used.is_none_or(|b| b == f.block));
         }
         fits.sort_by_key(|f| {
@@ -338,10 +342,14 @@
                 })
                 .any(|(b, _)| self.is_served(*b) && self.fit(id, job, *b, round, now).total > 0);
             let served = self.is_served(block);
-            if !elsewhere && served || job.spec.one_zone || job.spec.spread {
+            // Constraints on zones hold across all tasks of a job: as long as one is
+            // on a machine, the others stay with the holder that sees it.
+            let constrained = job.spec.one_zone || job.spec.spread;
+            if !elsewhere && served || constrained && !job.placed.is_empty() {
                 continue;
             }
-            let ranges: Ranges = job.waiting.get(&block).cloned().unwrap_or_default().head(1000);
+            let most = if constrained { job.record.tasks } else { 1000 };
+            let ranges: Ranges = job.waiting.get(&block).cloned().unwrap_or_default().head(most);
             let admitted = job.record.admitted.get(&block).cloned().unwrap_or_default();
             // What is not committed yet can't be taken back yet.
             let ranges = ranges.without(&ranges.without(&admitted));
--- a/crates/dapplecroft-controller/tests/stories/cluster.rs
+++ b/crates/dapplecroft-controller/tests/stories/cluster.rs
@@ -260,7 +260,7 @@
         self.hand_in(id, &service(id, team, replicas, cpus)).await;
     }
 
-    async fn hand_in(&self, id: &str, body: &Value) {
+    pub async fn hand_in(&self, id: &str, body: &Value) {
         for attempt in 0..60 {
             let (status, answer) = self.call(attempt % NODES, Method::POST, "/v2/runs", body).await;
             if status == 201 || status == 200 {
@@ -328,6 +328,12 @@
         self.state.keys("dc/b/").into_iter().filter_map(held).collect()
     }
 
+    /// How many records of machines name one.
+    pub fn groups_with(&self, machine: &str) -> usize {
+        let named = |key: &String| self.state.value(key).is_some_and(|v| v.to_string().contains(machine));
+        self.state.keys("dc/m/").iter().filter(|key| named(key)).count()
+    }
+
     /// The number of a controller by its name.
     pub fn number(&self, name: &str) -> usize {
         (0..NODES).find(|n| host(*n) == name).unwrap()
--- a/crates/dapplecroft-controller/tests/stories/meetings.rs
+++ b/crates/dapplecroft-controller/tests/stories/meetings.rs
@@ -1,6 +1,6 @@
 //! Two troubles at a time.
 
-use crate::cluster::{Cluster, host, pause};
+use crate::cluster::{Cluster, host, job, pause};
 use dapplecroft_controller::Options;
 use dapplecroft_fakes::{Action, Rule, WorkerTiming};
 use std::time::Duration;
@@ -47,3 +47,28 @@
     assert_eq!(c.referee.late_starts(), Vec::<String>::new());
     c.assert_rules_kept();
 }
+
+// A job whose tasks have to be in one zone, or apart, stayed with the block that
+// it was admitted to although nothing of it ran any more and other machines idled.
+#[tokio::test(start_paused = true)]
+async fn a_job_bound_to_zones_that_lost_its_machine_goes_where_there_is_room() {
+    for constraint in ["same_place", "apart"] {
+        let options = Options { block_machines: Some(1), ..Options::default() };
+        let c = Cluster::with(2, long(&["run-1"]), options).await;
+        let mut body = job("run-1", "free", 1, 16.0, "normal");
+        body[constraint] = true.into();
+        c.hand_in("run-1", &body).await;
+        c.until_running(1).await;
+        let machine = c.referee.on()["run-1/0"].clone();
+        // Another machine comes up and idles; no third is to be had.
+        c.submit("run-2", "free", 1, 16.0, "normal").await;
+        c.until_stage("run-2", "done").await;
+        c.cloud.shrink(1);
+        c.cloud.take(&machine);
+        c.until("it is proven gone", || !c.state.keys("dc/m/").is_empty() && c.groups_with(&machine) == 0)
+            .await;
+        pause(25.0).await;
+        assert_eq!(c.referee.starts("run-1/0"), 2, "{constraint}");
+        c.assert_rules_kept();
+    }
+}
--- a/crates/dapplecroft-fakes/src/cloud.rs
+++ b/crates/dapplecroft-fakes/src/cloud.rs
@@ -75,6 +75,11 @@
         self.inner.lock().unwrap().never_up.push(n);
     }
 
+    /// There is room for only so many machines from now on.
+    pub fn shrink(&self, capacity: usize) {
+        self.inner.lock().unwrap().capacity = capacity;
+    }
+
     /// Lists describe a moment that much longer ago.
     pub fn older_lists(&self, by: Duration) {
         self.inner.lock().unwrap().older = by;
