--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -100,7 +100,7 @@
         self.prove_released(now);
         // The cloud checks no token: a leader that may have been replaced leaves
         // machines alone, well before it stops answering workers.
-        let age = self.role.contact.map(|at| now.saturating_duration_since(at));
+        let age = self.contact_age(now);
         let mut give_up = BTreeSet::new();
         if self.leads(now) && age.is_some_and(|a| a <= self.options.node_lease) {
             self.releases(due, &mut actions);
--- a/crates/dapplecroft-controller/src/core/roles.rs
+++ b/crates/dapplecroft-controller/src/core/roles.rs
@@ -112,9 +112,14 @@
         self.settings.contact_limit().min(self.options.block_lease)
     }
 
+    /// How long ago the request was sent that last confirmed this process's role.
+    pub fn contact_age(&self, now: Instant) -> Option<Duration> {
+        self.role.contact.map(|at| now.saturating_duration_since(at))
+    }
+
     /// Whether this process may act under its leases now.
     pub fn in_contact(&self, now: Instant) -> bool {
-        self.role.contact.is_some_and(|at| now.saturating_duration_since(at) <= self.contact_limit())
+        self.contact_age(now).is_some_and(|age| age <= self.contact_limit())
     }
 
     /// Whether this process leads, knows what its predecessors did, and may act.
--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -368,7 +368,10 @@
                 _ => {}
             }
         }
-        for task in &machine.tasks {
+        // Whoever has been out of contact for longer may have missed cancellations
+        // that users were told of: it goes on answering, but it begins nothing.
+        let begins = self.contact_age(now).is_some_and(|age| age <= self.options.node_lease);
+        for task in machine.tasks.iter().filter(|_| begins) {
             let Some(job) = self.open_job(&task.job) else { continue };
             let Some(placed) = job.placed.get(&task.index) else { continue };
             let here = placed.committed && *placed.machine == *id && placed.session == machine.session;
--- a/crates/dapplecroft-controller/tests/stories/gap.rs
+++ b/crates/dapplecroft-controller/tests/stories/gap.rs
@@ -4,7 +4,7 @@
 
 use crate::cluster::{CANCEL, Cluster, host, pause};
 use dapplecroft_controller::Options;
-use dapplecroft_fakes::WorkerTiming;
+use dapplecroft_fakes::{Action, Rule, WorkerTiming};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -149,3 +149,33 @@
         through(&c, 0.5, old).await;
     }
 }
+
+// What is recorded and could not be commanded yet may have been withdrawn since: a
+// holder that is refused went on sending its starts until the contact limit.
+#[tokio::test(start_paused = true)]
+async fn a_refused_holder_goes_on_answering_and_begins_nothing() {
+    let c = running(None).await;
+    let old = c.leader().unwrap();
+    c.net.rule(Rule::all(&host(old), "", Action::Drop).path("/do").body("start"));
+    let machines = c.cloud.machines();
+    machines.iter().for_each(|m| c.net.rule(Rule::all(m, "", Action::LoseAnswer)));
+    c.submit("run-3", "free", 2, 4.0, "normal").await;
+    c.until("starts were lost", || c.net.matched(Action::Drop) > 0).await;
+    c.state.bar(&host(old), true);
+    for id in ["run-1", "run-3"] {
+        c.withdraw((old + 1) % 3, id).await;
+    }
+    watch(&c, 2.0).await;
+    c.state.outage(true);
+    c.state.bar(&host(old), false);
+    watch(&c, 4.0).await;
+    // The network heals, and workers are answered again.
+    c.net.clear_rules();
+    watch(&c, 4.0).await;
+    assert!(in_contact(&c, old), "it still answers");
+    watch(&c, OUTAGE).await;
+    c.state.outage(false);
+    c.until_running(6).await;
+    assert_eq!(c.referee.late_starts(), Vec::<String>::new());
+    c.assert_rules_kept();
+}
