A confirmation asked for by a role that was given up since does not count

Contact was forgotten when a role was lost, but a confirmation that was on its way then brought it back when it was answered, for whatever role came next. Found by reading; two tests of contact, the first failed before.

--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -55,6 +55,9 @@
     pub contact: Option<Instant>,
     /// Takes no role before: it was cut off from its workers.
     pub abstains: Option<Instant>,
+    /// Counts how often it was given up: a confirmation that was asked for
+    /// before says nothing of what was taken up since.
+    generation: u64,
     pending: VecDeque<(Instant, u64)>,
 }
 
--- a/crates/dapplecroft-controller/src/core/roles.rs
+++ b/crates/dapplecroft-controller/src/core/roles.rs
@@ -8,6 +8,19 @@
 use std::time::{Duration, Instant};
 
 impl Core {
+    /// The generation of this process's role: another one each time it was given up.
+    pub fn generation(&self) -> u64 {
+        self.role.generation
+    }
+
+    /// Notes a confirmation that was asked for by a generation of its role: that of
+    /// an earlier one does not count.
+    pub fn confirmed_for(&mut self, generation: u64, sent: Instant, revision: u64) {
+        if generation == self.role.generation {
+            self.confirmed(sent, revision);
+        }
+    }
+
     /// Notes a confirmation of this node's role: sent when, at which revision.
     /// It counts once all changes up to that revision are known, so that a
     /// holder in contact has heard of every cancellation before it.
@@ -37,8 +50,7 @@
                 self.resign("replaced", now);
                 // The copy may still have this process's own key, and it would
                 // take up its old role by that: not before a confirmation.
-                self.role.contact = None;
-                self.role.pending.clear();
+                self.forget_contact();
             }
             Some(records::Key::Block(block)) => self.lose_block(block, "leased to another", now),
             _ => {}
@@ -101,8 +113,13 @@
         for block in blocks {
             self.lose_block(block, why, now);
         }
+        self.forget_contact();
+    }
+
+    fn forget_contact(&mut self) {
         self.role.contact = None;
         self.role.pending.clear();
+        self.role.generation += 1;
     }
 
     /// The longest time that this process acts without a confirmation: its
--- a/crates/dapplecroft-controller/src/loops/election.rs
+++ b/crates/dapplecroft-controller/src/loops/election.rs
@@ -242,7 +242,7 @@
 
     /// As leader or holder, asks whether all that is still this process's.
     async fn confirm(&self) {
-        let conditions = self.with(|core| core.role_conditions());
+        let (conditions, generation) = self.with(|core| (core.role_conditions(), core.generation()));
         let sent: Instant = now();
         let most = 4 * self.with(|core| core.limits().changes);
         let mut confirmed = None;
@@ -266,7 +266,7 @@
             }
         }
         if let Some(revision) = confirmed {
-            self.with(|core| core.confirmed(sent, revision));
+            self.with(|core| core.confirmed_for(generation, sent, revision));
         }
     }
 
