A submission that lacks a field gets 400: only what may be null may be missing

same_place, apart, loaners, bundle, image_gb, mark_s and stow_s were taken for false, none or 0 when they were missing, so that a job was accepted that its user had not described. The protocol lets only hulls, yard and due_s be null.

--- a/crates/dapplecroft-wire/src/users.rs
+++ b/crates/dapplecroft-wire/src/users.rs
@@ -135,7 +135,8 @@
     }
 
     /// Reads a submission and checks every field, so that what is wrong can be
-    /// told to the user in a few words.
+    /// told to the user in a few words. Only what may be null may be missing:
+    /// allowed types, zone and deadline.
     pub fn parse(body: &[u8]) -> Result<JobSpec, String> {
         let value: Value = serde_json::from_slice(body).map_err(|_| "not JSON".to_string())?;
         let Value::Object(fields) = value else { return Err("not an object".into()) };
@@ -179,16 +180,16 @@
             cpus,
             gpus,
             memory_gb,
-            image: optional_text(&fields, "bundle")?,
-            image_gb: optional_amount(&fields, "image_gb")?.unwrap_or(0.0),
+            image: Some(text(&fields, "bundle")?),
+            image_gb: amount(&fields, "image_gb")?,
             types,
             zone: optional_text(&fields, "yard")?,
             one_zone: flag(&fields, "same_place")?,
             spread: flag(&fields, "apart")?,
             spot: flag(&fields, "loaners")?,
             estimate_s: amount(&fields, "reckon_s")?,
-            checkpoint_s: optional_amount(&fields, "mark_s")?.unwrap_or(0.0),
-            save_s: optional_amount(&fields, "stow_s")?.unwrap_or(0.0),
+            checkpoint_s: amount(&fields, "mark_s")?,
+            save_s: amount(&fields, "stow_s")?,
             deadline_s: optional_amount(&fields, "due_s")?,
         })
     }
@@ -222,7 +223,7 @@
 
 fn flag(fields: &Map<String, Value>, name: &str) -> Result<bool, String> {
     match fields.get(name) {
-        None | Some(Value::Null) => Ok(false),
+        None | Some(Value::Null) => Err(format!("{name}: missing")),
         Some(Value::Bool(b)) => Ok(*b),
         Some(_) => Err(format!("{name}: not true or false")),
     }
--- a/crates/dapplecroft-wire/src/users/tests.rs
+++ b/crates/dapplecroft-wire/src/users/tests.rs
@@ -55,3 +55,24 @@
     assert_eq!(JobSpec::parse(b"[1]").unwrap_err(), "not an object");
     assert_eq!(JobSpec::parse(b"{").unwrap_err(), "not JSON");
 }
+
+// Some fields were taken for false or 0 when they were missing: a job was accepted
+// that its user had not described.
+#[test]
+fn only_what_may_be_null_may_be_missing() {
+    let all = good();
+    for field in all.as_object().unwrap().keys().filter(|f| *f != "later") {
+        let mut body = all.clone();
+        body.as_object_mut().unwrap().remove(field);
+        let read = JobSpec::parse(body.to_string().as_bytes());
+        if ["hulls", "yard", "due_s"].contains(&field.as_str()) {
+            assert!(read.is_ok(), "{field}: {read:?}");
+        } else {
+            assert!(read.is_err_and(|e| e.starts_with(field.as_str())), "{field}");
+        }
+        let mut body = all.clone();
+        body[field] = Value::Null;
+        let nullable = ["hulls", "yard", "due_s"].contains(&field.as_str());
+        assert_eq!(JobSpec::parse(body.to_string().as_bytes()).is_ok(), nullable, "{field}");
+    }
+}
