Withdrawn is told from memory, in an outage too; a known job is never refused for good

A withdrawn job whose tasks were not gone yet was confirmed with the state service for each question, and so refused in an outage, although what is committed as withdrawn never changes. A repeated submission that would no longer fit a value got 400 without a look whether it is known; now that is looked up as for 422.

--- a/crates/dapplecroft-controller/src/users.rs
+++ b/crates/dapplecroft-controller/src/users.rs
@@ -78,14 +78,14 @@
         reply
     }
 
-    /// What is committed about a job. Final states never change, so they are
-    /// answered from memory; anything else, "no such job" included, is
+    /// What is committed about a job. Done and withdrawn never change, so they are
+    /// answered from memory, also in an outage; anything else, "no such job" included, is
     /// confirmed with the state service first.
     async fn known(self: &Arc<Self>, id: &str) -> Known {
         let key = records::job_key(id);
         let version = self.with(|core| match core.jobs.get(id) {
-            Some(job @ Job::Final { .. }) => Err(job.status(id)),
-            Some(Job::Open(job)) => Ok(job.version),
+            Some(Job::Open(job)) if job.is_open() => Ok(job.version),
+            Some(job) => Err(job.status(id)),
             None => Ok(0),
         });
         let version = match version {
@@ -139,12 +139,7 @@
             Judgement::Fits => {}
             Judgement::Unknown => return Reply::busy("machine types not known yet", 2),
             Judgement::Never(error) => {
-                // It may have been accepted before the settings changed.
-                return match self.known(&id).await {
-                    Known::Nothing => Reply::problem(422, &error),
-                    Known::Job(status) => Reply::json(200, &status),
-                    Known::Unavailable => Reply::busy("state service out of reach", 1),
-                };
+                return self.unless_known(&id, 422, &error).await;
             }
         }
         if spec.is_service() && self.with(|core| core.is_mixed()) {
@@ -164,7 +159,7 @@
         };
         let value = self.with(|core| core.job_value(&record));
         if stored_size(&value) + NOTES > self.settings.params.state.lasting().value {
-            return Reply::problem(400, "too long to be stored");
+            return self.unless_known(&id, 400, "too long to be stored").await;
         }
         let unit = Unit {
             conditions: vec![Condition { key: key.clone(), version: 0 }],
@@ -181,6 +176,16 @@
         }
     }
 
+    /// Refuses a submission for good, unless it was accepted before the settings
+    /// changed.
+    async fn unless_known(self: &Arc<Self>, id: &str, status: u16, error: &str) -> Reply {
+        match self.known(id).await {
+            Known::Nothing => Reply::problem(status, error),
+            Known::Job(status) => Reply::json(200, &status),
+            Known::Unavailable => Reply::busy("state service out of reach", 1),
+        }
+    }
+
     async fn repeated(self: &Arc<Self>, id: &str) -> Reply {
         match self.known(id).await {
             Known::Job(status) => Reply::json(200, &status),
--- a/crates/dapplecroft-controller/tests/stories/users.rs
+++ b/crates/dapplecroft-controller/tests/stories/users.rs
@@ -211,3 +211,34 @@
     codes.sort_unstable();
     assert_eq!(codes, [200, 200, 503, 503, 503, 503]);
 }
+
+// Withdrawn is as final as done, but while tasks were still on machines it was
+// confirmed with the state service each time, and refused in an outage.
+#[tokio::test(start_paused = true)]
+async fn what_is_withdrawn_is_told_in_an_outage_as_well_while_its_tasks_are_not_gone() {
+    let runs = |t: &mut dapplecroft_fakes::WorkerTiming| {
+        t.runs.insert("run-1".into(), Duration::from_secs(200));
+    };
+    let c = Cluster::with(1, runs, Options::default()).await;
+    c.submit("run-1", "free", 2, 4.0, "normal").await;
+    c.until_running(2).await;
+    let machine = c.cloud.machines()[0].clone();
+    c.net.rule(Rule::all(&machine, "", Action::Drop));
+    c.net.rule(Rule::all("", &format!("w:{machine}"), Action::Drop));
+    c.withdraw(0, "run-1").await;
+    pause(1.0).await;
+    c.state.outage(true);
+    pause(1.0).await;
+    for n in 0..3 {
+        assert_eq!(c.show(n, "run-1").await.1["stage"], "withdrawn");
+        let path = "/v2/runs/run-1/withdraw";
+        assert_eq!(c.call(n, Method::POST, path, &Value::Null).await.1["stage"], "withdrawn");
+        let again = c.call(n, Method::POST, "/v2/runs", &job("run-1", "free", 2, 4.0, "normal")).await;
+        assert_eq!((again.0, &again.1["stage"]), (200, &json!("withdrawn")));
+    }
+    assert_eq!(c.referee.on().len(), 2, "they are not gone");
+    c.state.outage(false);
+    c.net.clear_rules();
+    c.until("they are gone", || c.referee.on().is_empty()).await;
+    c.assert_rules_kept();
+}
