Stories of close looks; the referee catches older answers, neglect and late starts

Users ask at all nodes twice at once, and submit again, right after a job was accepted, withdrawn or ended: with nothing else wrong, with answers of the state service lost or transactions late, with a process that has just started or has its users answered by a peer; and with cancellations at the moment of the end. Each check has a test with a broken case.

--- a/crates/dapplecroft-controller/tests/stories/cluster.rs
+++ b/crates/dapplecroft-controller/tests/stories/cluster.rs
@@ -2,7 +2,7 @@
 
 use async_trait::async_trait;
 use dapplecroft_controller::{Node, Options, Parts, PeerService, Peers, Reply};
-use dapplecroft_fakes::{Action, FakeCloud, FakeState, Handler, Net, Referee, Rule, WorkerTiming};
+use dapplecroft_fakes::{Action, FakeCloud, FakeState, Handler, Net, Referee, Rule, Told, WorkerTiming};
 use dapplecroft_net::Response;
 use dapplecroft_wire::peer::{ForwardRequest, RoomReply, SightReply};
 use dapplecroft_wire::settings::{Peer, Settings};
@@ -243,12 +243,11 @@
         self.referee.job(id, team, cpus);
         let body = job(id, team, tasks, cpus, "normal");
         for _ in 0..60 {
-            let (status, answer) = self.call(n, Method::POST, "/v2/runs", &body).await;
+            let (status, stage) = self.ask_submit(n, id, &body).await;
             if status == 201 || status == 200 {
-                self.referee.accepted(id);
                 return;
             }
-            assert_eq!(status, 503, "{answer}");
+            assert_eq!(status, 503, "{stage}");
             sleep(Duration::from_secs(1)).await;
         }
         panic!("{id} is not accepted");
@@ -262,12 +261,11 @@
 
     pub async fn hand_in(&self, id: &str, body: &Value) {
         for attempt in 0..60 {
-            let (status, answer) = self.call(attempt % NODES, Method::POST, "/v2/runs", body).await;
+            let (status, stage) = self.ask_submit(attempt % NODES, id, body).await;
             if status == 201 || status == 200 {
-                self.referee.accepted(id);
                 return;
             }
-            assert_eq!(status, 503, "{answer}");
+            assert_eq!(status, 503, "{stage}");
             sleep(Duration::from_secs(1)).await;
         }
         panic!("{id} is not accepted");
@@ -280,21 +278,72 @@
 
     pub async fn withdraw(&self, n: usize, id: &str) {
         for _ in 0..60 {
-            let path = format!("/v2/runs/{id}/withdraw");
-            let (status, answer) = self.call(n, Method::POST, &path, &Value::Null).await;
+            let (status, stage) = self.ask_withdraw(n, id).await;
             if status == 200 {
-                assert_eq!(answer["stage"], "withdrawn");
-                self.referee.cancelled(id);
+                assert_eq!(stage, "withdrawn");
                 return;
             }
-            assert_eq!(status, 503, "{answer}");
+            assert_eq!(status, 503, "{stage}");
             sleep(Duration::from_secs(1)).await;
         }
         panic!("{id} is not withdrawn");
     }
 
+    /// Asks once for a job to be withdrawn: the answer's status and stage.
+    pub async fn ask_withdraw(&self, n: usize, id: &str) -> (u16, String) {
+        let before = self.referee.known(id);
+        let path = format!("/v2/runs/{id}/withdraw");
+        let (status, answer) = self.call(n, Method::POST, &path, &Value::Null).await;
+        let stage = answer["stage"].as_str().unwrap_or_default().to_string();
+        self.referee.heard(id, &before, status, &stage);
+        if stage == "withdrawn" {
+            self.referee.cancelled(id);
+        }
+        (status, stage)
+    }
+
+    /// Submits once at a node: the answer's status and stage.
+    pub async fn ask_submit(&self, n: usize, id: &str, body: &Value) -> (u16, String) {
+        let before = self.referee.known(id);
+        let (status, answer) = self.call(n, Method::POST, "/v2/runs", body).await;
+        let stage = answer["stage"].as_str().unwrap_or_default().to_string();
+        self.referee.heard(id, &before, status, &stage);
+        if status == 201 || status == 200 {
+            self.referee.accepted(id);
+        }
+        (status, stage)
+    }
+
+    /// Asks about a job at all nodes at the same time, twice each; those that are
+    /// not up have no answer.
+    pub async fn look(&self, id: &str) -> Vec<(u16, Value)> {
+        let ask = |n| async move {
+            match self.is_up(n) {
+                true => Some(self.show(n, id).await),
+                false => None,
+            }
+        };
+        let (a, b, c, d, e, f) = tokio::join!(ask(0), ask(1), ask(2), ask(0), ask(1), ask(2));
+        [a, b, c, d, e, f].into_iter().flatten().collect()
+    }
+
+    /// What users have been told of a job at most.
+    pub fn referee_stage(&self, id: &str) -> String {
+        match self.referee.known(id) {
+            Told::Final(stage) => stage,
+            told => format!("{told:?}"),
+        }
+    }
+
+    /// Whether a controller's process is there.
+    pub fn is_up(&self, n: usize) -> bool {
+        self.running.lock().unwrap().contains_key(&host(n))
+    }
+
     pub async fn show(&self, n: usize, id: &str) -> (u16, Value) {
+        let before = self.referee.known(id);
         let answer = self.call(n, Method::GET, &format!("/v2/runs/{id}"), &Value::Null).await;
+        self.referee.heard(id, &before, answer.0, answer.1["stage"].as_str().unwrap_or_default());
         if answer.0 == 200 {
             self.referee.answered(id);
             let stage = answer.1["stage"].as_str().unwrap_or_default();
@@ -317,7 +366,11 @@
                 }
             }
         }
-        sleep((end + Duration::from_secs(1)).saturating_duration_since(Instant::now())).await;
+        let end = end + Duration::from_secs(20);
+        while Instant::now() < end {
+            assert_eq!(self.referee.neglected(), Vec::<String>::new());
+            sleep(Duration::from_secs(1)).await;
+        }
         assert_eq!(self.referee.day_ends(), Vec::<String>::new());
         self.assert_rules_kept();
     }
--- a/crates/dapplecroft-controller/tests/stories/main.rs
+++ b/crates/dapplecroft-controller/tests/stories/main.rs
@@ -11,6 +11,7 @@
 mod gap;
 mod late;
 mod limits;
+mod looks;
 mod meetings;
 mod restarts;
 mod services;
--- a/crates/dapplecroft-fakes/src/cloud.rs
+++ b/crates/dapplecroft-fakes/src/cloud.rs
@@ -31,6 +31,8 @@
     never_up: Vec<u64>,
     older: Duration,
     outage: bool,
+    boot: Option<Duration>,
+    zones: Vec<String>,
 }
 
 /// A cloud that rents machines of one type, `m` (16 CPUs, 64 GB), in zone `z`.
@@ -80,6 +82,21 @@
         self.inner.lock().unwrap().capacity = capacity;
     }
 
+    /// Machines are up so soon from now on.
+    pub fn boots_within(&self, time: Duration) {
+        self.inner.lock().unwrap().boot = Some(time);
+    }
+
+    /// Machines are to be had in these zones besides `z`.
+    pub fn add_zones(&self, zones: &[&str]) {
+        self.inner.lock().unwrap().zones.extend(zones.iter().map(|z| z.to_string()));
+    }
+
+    /// The zone of a machine.
+    pub fn zone(&self, id: &str) -> String {
+        self.inner.lock().unwrap().machines[id].zone.clone()
+    }
+
     /// Lists describe a moment that much longer ago.
     pub fn older_lists(&self, by: Duration) {
         self.inner.lock().unwrap().older = by;
@@ -116,6 +133,7 @@
         for id in ids {
             if let Some(machine) = inner.machines.get_mut(id) {
                 machine.gone.get_or_insert(Instant::now());
+                self.referee.machine(id, None);
                 if let Some(worker) = machine.worker.take() {
                     worker.destroy();
                 }
@@ -158,7 +176,8 @@
     }
 
     async fn boot(&self, id: &str) {
-        sleep(self.boot).await;
+        let boot = self.inner.lock().unwrap().boot.unwrap_or(self.boot);
+        sleep(boot).await;
         let mut inner = self.inner.lock().unwrap();
         let Some(machine) = inner.machines.get_mut(id).filter(|m| m.gone.is_none()) else { return };
         let worker = FakeWorker::start(
@@ -172,6 +191,12 @@
             machine.spot,
         );
         machine.worker = Some(worker);
+        self.referee.machine(id, Some(16.0));
+    }
+
+    fn yards(&self) -> Vec<String> {
+        let inner = self.inner.lock().unwrap();
+        std::iter::once("z".to_string()).chain(inner.zones.iter().cloned()).collect()
     }
 
     fn list(&self) -> Response {
@@ -203,7 +228,7 @@
             "/catalog" => answer(
                 200,
                 json!({"hulls": [{"name": "m", "cpus": 16.0, "gpus": 0, "memory_gb": 64.0, "local_gb": 50,
-                    "pull_gb_per_s": 1.0, "price": 1.0, "market_price": 0.3, "boot_s": 5, "yards": ["z"]}]}),
+                    "pull_gb_per_s": 1.0, "price": 1.0, "market_price": 0.3, "boot_s": 5, "yards": self.yards()}]}),
             ),
             "/rentals" => match serde_json::from_slice::<RentRequest>(body) {
                 Ok(request) => self.rent(&request),
--- a/crates/dapplecroft-fakes/src/referee.rs
+++ b/crates/dapplecroft-fakes/src/referee.rs
@@ -21,11 +21,28 @@
     services: BTreeMap<String, u32>,
     missing: HashMap<String, Instant>,
     late_starts: Vec<String>,
+    told: HashMap<String, Told>,
+    machines: BTreeMap<String, f64>,
+    neglected: HashMap<String, Instant>,
+}
+
+/// What users have been told of a job at most; later answers may not be older.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum Told {
+    /// Nothing yet.
+    #[default]
+    Nothing,
+    /// That it is accepted.
+    Accepted,
+    /// That it is done, or withdrawn.
+    Final(String),
 }
 
 /// A job about which no question is answered for so long after the end of all
 /// troubles is forgotten.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(75);
+/// A job that has not begun waits no longer than this while there is room.
+const NEGLECTED_AFTER: Duration = Duration::from_secs(90);
 /// Even the largest jobs must begin within this time.
 const BEGIN_WITHIN: Duration = Duration::from_secs(240);
 
@@ -94,6 +111,81 @@
         inner.missing.iter().filter(|(_, at)| lost(at)).map(|(task, _)| task.clone()).collect()
     }
 
+    /// What users have been told of a job so far; to be asked before a question
+    /// is sent, and handed to [`Referee::heard`] with its answer.
+    pub fn known(&self, id: &str) -> Told {
+        self.inner.lock().unwrap().told.get(id).cloned().unwrap_or_default()
+    }
+
+    /// A user heard this of a job, in answer to a question that was sent when so
+    /// much was known: nobody may say less, and nothing else once it is final.
+    pub fn heard(&self, id: &str, before: &Told, status: u16, stage: &str) {
+        let now = match (status, stage) {
+            (200 | 201, "done" | "withdrawn") => Told::Final(stage.into()),
+            (200 | 201, _) => Told::Accepted,
+            (404, _) => Told::Nothing,
+            _ => return,
+        };
+        let mut inner = self.inner.lock().unwrap();
+        let older = match before {
+            Told::Nothing => false,
+            Told::Accepted => now == Told::Nothing,
+            Told::Final(_) => now != *before,
+        };
+        if older {
+            inner.broken.push(format!("went_back: {id} is told to be {now:?} after {before:?}"));
+        }
+        let known = inner.told.entry(id.into()).or_default();
+        match (&known, &now) {
+            (Told::Final(old), Told::Final(new)) if old != new => {
+                let what = format!("went_back: {id} is told to be {new} and {old}");
+                inner.broken.push(what);
+            }
+            (Told::Final(_), _) | (Told::Accepted, Told::Nothing) => {}
+            _ => *known = now,
+        }
+    }
+
+    /// A machine is up that has so many processors, or (`None`) is gone.
+    pub fn machine(&self, id: &str, cpus: Option<f64>) {
+        let mut inner = self.inner.lock().unwrap();
+        match cpus {
+            Some(cpus) => inner.machines.insert(id.into(), cpus),
+            None => inner.machines.remove(id),
+        };
+    }
+
+    /// Jobs that have not begun and have waited for too long, all troubles being
+    /// over, while some machine had room for a task all that time and their team
+    /// was under its limit; to be asked again and again.
+    pub fn neglected(&self) -> Vec<String> {
+        let mut inner = self.inner.lock().unwrap();
+        let mut free = inner.machines.clone();
+        let mut used: HashMap<String, f64> = HashMap::new();
+        for (task, machine) in &inner.on {
+            let Some((team, cpus)) = inner.jobs.get(job_of(task)) else { continue };
+            *free.entry(machine.clone()).or_default() -= cpus;
+            *used.entry(team.clone()).or_default() += cpus;
+        }
+        let most = free.into_values().fold(0.0, f64::max);
+        let waits = |id: &&String| {
+            let Some((team, cpus)) = inner.jobs.get(*id) else { return false };
+            let under = inner
+                .limits
+                .get(team)
+                .is_none_or(|limit| used.get(team).copied().unwrap_or(0.0) + cpus <= limit + 1e-9);
+            !inner.began.contains_key(*id) && !inner.cancelled.contains_key(*id) && under && *cpus <= most
+        };
+        let waiting: Vec<String> = inner.accepted.keys().filter(waits).cloned().collect();
+        let Some(calm) = inner.calm else { return Vec::new() };
+        inner.neglected.retain(|id, _| waiting.contains(id));
+        for id in waiting {
+            inner.neglected.entry(id).or_insert_with(Instant::now);
+        }
+        let long = |at: &Instant| (*at).max(calm).elapsed() > NEGLECTED_AFTER;
+        inner.neglected.iter().filter(|(_, at)| long(at)).map(|(id, _)| id.clone()).collect()
+    }
+
     /// A user was told that a job is cancelled.
     pub fn cancelled(&self, id: &str) {
         self.inner.lock().unwrap().cancelled.insert(id.into(), Instant::now());
--- a/crates/dapplecroft-fakes/src/referee/tests.rs
+++ b/crates/dapplecroft-fakes/src/referee/tests.rs
@@ -63,3 +63,65 @@
         assert!(broken.contains(rule), "{rule}: {broken}");
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_older_answer_after_a_newer_one_is_caught() {
+    let referee = Referee::new(Duration::from_secs(10));
+    let asked = referee.known("run-1");
+    referee.heard("run-1", &asked, 201, "queued");
+    // Sent before the job was accepted, answered after: no fault.
+    referee.heard("run-1", &asked, 404, "");
+    referee.heard("run-1", &referee.known("run-1"), 503, "");
+    referee.heard("run-1", &referee.known("run-1"), 200, "running");
+    assert!(referee.broken().is_empty());
+    referee.heard("run-1", &referee.known("run-1"), 404, "");
+    assert_eq!(referee.broken().len(), 1);
+    let asked = referee.known("run-1");
+    referee.heard("run-1", &asked, 200, "withdrawn");
+    referee.heard("run-1", &asked, 200, "running");
+    assert_eq!(referee.broken().len(), 1, "asked before it was withdrawn");
+    referee.heard("run-1", &referee.known("run-1"), 200, "running");
+    assert_eq!(referee.broken().len(), 2);
+    // Two final answers, whoever asked first.
+    referee.heard("run-1", &asked, 200, "done");
+    assert_eq!(referee.broken().len(), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_that_waits_while_there_is_room_is_caught() {
+    let referee = Referee::new(Duration::from_secs(10));
+    referee.limit("a", 4.0);
+    referee.machine("m", Some(8.0));
+    for (id, team, cpus) in
+        [("run-1", "a", 4.0), ("run-2", "a", 4.0), ("run-3", "b", 5.0), ("run-4", "b", 9.0)]
+    {
+        referee.job(id, team, cpus);
+        referee.accepted(id);
+    }
+    referee.started("run-1/0", 1, "m");
+    referee.calm();
+    assert!(referee.neglected().is_empty());
+    sleep(Duration::from_secs(91)).await;
+    // run-2: its team is at its limit; run-3 and run-4: no machine has room.
+    assert!(referee.neglected().is_empty());
+    referee.ended("run-1/0", "m");
+    assert!(referee.neglected().is_empty());
+    sleep(Duration::from_secs(91)).await;
+    let mut neglected = referee.neglected();
+    neglected.sort();
+    assert_eq!(neglected, ["run-2", "run-3"]);
+    referee.cancelled("run-3");
+    referee.machine("m", None);
+    assert!(referee.neglected().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_start_after_a_confirmed_cancellation_is_counted() {
+    let referee = Referee::new(Duration::from_secs(10));
+    referee.started("run-1/0", 1, "m");
+    referee.cancelled("run-1");
+    assert!(referee.late_starts().is_empty());
+    referee.started("run-1/1", 1, "m");
+    assert_eq!(referee.late_starts(), ["run-1/1 starts on m"]);
+    assert!(referee.broken().is_empty(), "it may have been on its way");
+}
