--- a/crates/dapplecroft-controller/src/core/admission.rs
+++ b/crates/dapplecroft-controller/src/core/admission.rs
@@ -189,10 +189,11 @@
             // Its constraints hold across all its tasks, so one holder has to
             // see all of them.
             // What was taken back from a block may be on a machine there all the
-            // same, placed just before.
+            // same, placed just before. What is done binds nothing any more, though
+            // the record still says where it was admitted.
             let on = job.placed.values().map(|p| p.home.block);
-            let admitted = job.record.admitted.keys().chain(job.admitting.keys());
-            let used = on.chain(admitted.copied()).next();
+            let waiting = job.waiting.keys().chain(job.revoking.keys());
+            let used = on.chain(waiting.copied()).next();
             fits.retain(|f| used.is_none_or(|b| b == f.block));
         }
         fits.sort_by_key(|f| {
--- a/crates/dapplecroft-controller/tests/stories/cluster.rs
+++ b/crates/dapplecroft-controller/tests/stories/cluster.rs
@@ -8,7 +8,7 @@
 use dapplecroft_wire::settings::{Peer, Settings};
 use http::Method;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime};
 use tokio::task::JoinHandle;
@@ -31,25 +31,38 @@
     }
 }
 
-struct FakePeers(Running);
+/// Controllers that the others can't reach, and that reach no other.
+type Apart = Arc<Mutex<BTreeSet<String>>>;
+
+struct FakePeers {
+    running: Running,
+    apart: Apart,
+    host: String,
+}
+
+impl FakePeers {
+    fn reach(&self, peer: &Peer) -> Option<PeerService> {
+        let apart = self.apart.lock().unwrap();
+        if apart.contains(&self.host) || apart.contains(&peer.host_name) {
+            return None;
+        }
+        self.running.lock().unwrap().get(&peer.host_name).cloned().map(PeerService)
+    }
+}
 
 #[async_trait]
 impl Peers for FakePeers {
     async fn probe(&self, peer: &Peer, addresses: Vec<String>) -> Option<Vec<String>> {
-        let node = self.0.lock().unwrap().get(&peer.host_name).cloned()?;
-        Some(PeerService(node).own_probe(addresses).await)
+        Some(self.reach(peer)?.own_probe(addresses).await)
     }
     async fn sight(&self, peer: &Peer) -> Option<SightReply> {
-        let node = self.0.lock().unwrap().get(&peer.host_name).cloned()?;
-        Some(PeerService(node).own_sight())
+        Some(self.reach(peer)?.own_sight())
     }
     async fn room(&self, peer: &Peer) -> Option<RoomReply> {
-        let node = self.0.lock().unwrap().get(&peer.host_name).cloned()?;
-        Some(PeerService(node).own_room())
+        Some(self.reach(peer)?.own_room())
     }
     async fn forward(&self, peer: &Peer, request: ForwardRequest) -> Option<Reply> {
-        let node = self.0.lock().unwrap().get(&peer.host_name).cloned()?;
-        PeerService(node).own_forward(request).await
+        self.reach(peer)?.own_forward(request).await
     }
 }
 
@@ -60,6 +73,8 @@
     pub referee: Arc<Referee>,
     pub options: Options,
     running: Running,
+    /// Controllers cut off from all others.
+    pub apart: Apart,
     loops: Mutex<BTreeMap<String, JoinHandle<()>>>,
     identities: Mutex<u64>,
     next: Value,
@@ -159,6 +174,7 @@
             fetch: Duration::from_millis(500),
             runs: BTreeMap::new(),
             fails: Vec::new(),
+            per_task: false,
         };
         adjust(&mut timing);
         let cloud = FakeCloud::new(&net, &referee, &nodes, timing, capacity);
@@ -171,6 +187,7 @@
             referee,
             options,
             running: Arc::default(),
+            apart: Arc::default(),
             loops: Mutex::default(),
             identities: Mutex::default(),
             next,
@@ -194,7 +211,11 @@
             options: self.options.clone(),
             identity: format!("process-{identity}"),
             transport: self.net.port(&host(n)),
-            peers: Arc::new(FakePeers(self.running.clone())),
+            peers: Arc::new(FakePeers {
+                running: self.running.clone(),
+                apart: self.apart.clone(),
+                host: host(n),
+            }),
             wall,
             seed: identity,
         });
--- a/crates/dapplecroft-controller/tests/stories/main.rs
+++ b/crates/dapplecroft-controller/tests/stories/main.rs
@@ -15,5 +15,6 @@
 mod meetings;
 mod restarts;
 mod services;
+mod storms;
 mod upgrade;
 mod users;
--- a/crates/dapplecroft-fakes/src/cloud.rs
+++ b/crates/dapplecroft-fakes/src/cloud.rs
@@ -118,6 +118,11 @@
         self.inner.lock().unwrap().machines.len()
     }
 
+    /// Whether a machine is up.
+    pub fn has_worker(&self, id: &str) -> bool {
+        self.inner.lock().unwrap().machines.get(id).is_some_and(|m| m.worker.is_some())
+    }
+
     /// A machine's worker.
     pub fn worker(&self, id: &str) -> Arc<FakeWorker> {
         self.inner.lock().unwrap().machines[id].worker.clone().unwrap()
--- a/crates/dapplecroft-fakes/src/net.rs
+++ b/crates/dapplecroft-fakes/src/net.rs
@@ -165,6 +165,21 @@
         codes
     }
 
+    /// Delivers the reports that were held to each of these addresses, and all
+    /// else where it was sent.
+    pub async fn deliver_hellos_to(&self, addresses: &[String]) {
+        let held = std::mem::take(&mut self.inner.lock().unwrap().held);
+        for (from, request) in held {
+            if request.path == "/hello" {
+                for address in addresses {
+                    self.hand_over(&from, address, &request).await;
+                }
+            } else {
+                self.hand_over(&from, &request.address, &request).await;
+            }
+        }
+    }
+
     async fn hand_over(&self, from: &str, address: &str, request: &Request) -> Option<u16> {
         let handler = self.inner.lock().unwrap().handlers.get(address).cloned()?;
         Some(handler.handle(from, request.method.clone(), &request.path, &request.body).await.status)
