--- a/crates/dapplecroft-controller/tests/stories/meetings.rs
+++ b/crates/dapplecroft-controller/tests/stories/meetings.rs
@@ -75,6 +75,31 @@
     }
 }
 
+// Its team's limit lets one task run at a time. The first has ended, and what the
+// record says of it bound the second to the block, which has no machine any more.
+#[tokio::test(start_paused = true)]
+async fn a_job_bound_to_zones_goes_on_elsewhere_once_what_ran_has_ended() {
+    let options = Options { block_machines: Some(1), ..Options::default() };
+    let c = Cluster::with(2, |_| {}, options).await;
+    let mut body = job("run-1", "tight", 2, 16.0, "normal");
+    body["same_place"] = true.into();
+    c.hand_in("run-1", &body).await;
+    c.until_running(1).await;
+    let machine = c.referee.on().into_values().next().unwrap();
+    // Another of the team's jobs goes before its second task.
+    c.submit("run-2", "free", 1, 16.0, "normal").await;
+    c.submit("run-3", "tight", 1, 16.0, "urgent").await;
+    c.until("the first has ended", || !c.referee.on().contains_key("run-1/0")).await;
+    c.cloud.shrink(1);
+    c.until("run-3 runs", || c.referee.starts("run-3/0") == 1).await;
+    assert_eq!(c.referee.starts("run-1/0") + c.referee.starts("run-1/1"), 1);
+    c.cloud.take(&machine);
+    pause(70.0).await;
+    assert_eq!(c.referee.starts("run-1/0") + c.referee.starts("run-1/1"), 2);
+    c.until_stage("run-1", "done").await;
+    c.assert_rules_kept();
+}
+
 // Every kind of record: carried out at once, only the answer is lost, and the other
 // nodes read it meanwhile. Whoever wrote it must neither undo nor repeat it.
 #[tokio::test(start_paused = true)]
