--- a/crates/dapplecroft-controller/tests/stories/storms.rs
+++ b/crates/dapplecroft-controller/tests/stories/storms.rs
@@ -122,13 +122,13 @@
     }
 
     async fn step(&mut self, step: usize) {
-        if step % 5 == 0 {
+        if step.is_multiple_of(5) {
             self.submit().await;
         }
         if step % 7 == 3 {
             self.withdraw().await;
         }
-        if step % 2 == 0 {
+        if step.is_multiple_of(2) {
             self.trouble(step);
         }
         if step % 6 == 5 {
