--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -2,7 +2,7 @@
 //! job by the leader, of a block by its holder.
 
 use super::Core;
-use crate::jobs::{Placed, TaskId};
+use crate::jobs::{OpenJob, Placed, TaskId};
 use crate::records::PartId;
 use dapplecroft_state::Unit;
 use dapplecroft_wire::state::{Change, Condition};
@@ -276,11 +276,13 @@
             Subject::Part(id) => {
                 if !self.role.holdings.contains_key(&id.block) {
                     self.drop_proposals_in(id.block);
-                } else if end == UnitEnd::NotMade {
-                    self.mark_part(*id, false);
                 } else {
-                    self.inherited.remove(id);
-                    self.drop_stuck(*id, now);
+                    self.drop_void(*id, now);
+                    if end == UnitEnd::NotMade {
+                        self.mark_part(*id, false);
+                    } else {
+                        self.inherited.remove(id);
+                    }
                 }
                 self.reweigh(*id);
                 self.continue_move(id.block, now);
@@ -298,27 +300,31 @@
         self.wakes.place = true;
     }
 
-    /// Takes back proposals that found no room in their part's record.
-    fn drop_stuck(&mut self, part: PartId, now: Instant) {
+    /// Takes back proposals that found no room in their part's record, and those
+    /// that are admitted no longer: while a unit of the part was on its way they
+    /// could not be told from what is in it, and nothing else would come to them.
+    fn drop_void(&mut self, part: PartId, now: Instant) {
         let old = |p: &Placed| now.saturating_duration_since(p.since) > STUCK;
-        self.drop_placed(part.block, |p| p.home == part && old(p));
+        self.drop_placed(part.block, |job, index, p| {
+            p.home == part && (old(p) || !job.admits(part.block, index))
+        });
     }
 
     /// Takes back all that is proposed in a block and not on its way.
     pub(super) fn drop_proposals_in(&mut self, block: u32) {
-        self.drop_placed(block, |_| true);
+        self.drop_placed(block, |_, _, _| true);
     }
 
-    fn drop_placed(&mut self, block: u32, void: impl Fn(&Placed) -> bool) {
-        let proposed: Vec<(TaskId, Placed)> = self
-            .machines
-            .values()
-            .filter(|m| m.block == block)
-            .flat_map(|m| &m.tasks)
-            .filter_map(|t| Some((t.clone(), self.open_job(&t.job)?.placed.get(&t.index)?.clone())))
-            .filter(|(_, p)| !p.committed && p.home.block == block && void(p))
-            .filter(|(_, p)| !self.on_way.contains_key(&Subject::Part(p.home)))
-            .collect();
+    fn drop_placed(&mut self, block: u32, void: impl Fn(&OpenJob, u32, &Placed) -> bool) {
+        let mut proposed: Vec<(TaskId, Placed)> = Vec::new();
+        for task in self.machines.values().filter(|m| m.block == block).flat_map(|m| &m.tasks) {
+            let Some(job) = self.open_job(&task.job) else { continue };
+            let Some(p) = job.placed.get(&task.index) else { continue };
+            let own = !p.committed && p.home.block == block;
+            if own && void(job, task.index, p) && !self.on_way.contains_key(&Subject::Part(p.home)) {
+                proposed.push((task.clone(), p.clone()));
+            }
+        }
         let jobs: BTreeSet<Arc<str>> = proposed.iter().map(|(t, _)| t.job.clone()).collect();
         for (task, placed) in proposed {
             self.withdraw_proposal(&task, &placed);
@@ -338,3 +344,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
