A part that another takes in is emptied, not dropped

Found by reading: what begins a part is bound to its key not being there. An emptied key keeps its version, so no late copy finds it as it was. Empty parts are passed over: their numbers are free, and they are taken in by nobody.

--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -3,7 +3,7 @@
 
 use super::Core;
 use crate::jobs::{OpenJob, Placed, TaskId};
-use crate::records::PartId;
+use crate::records::{LoadRecord, PartId};
 use dapplecroft_state::Unit;
 use dapplecroft_wire::state::{Change, Condition};
 use dapplecroft_wire::users::Rank;
@@ -43,7 +43,7 @@
     pub urgent: bool,
     number: u64,
     proposals: Vec<(TaskId, Placed)>,
-    /// A part that is dropped with it, since another takes it in.
+    /// A part that is emptied with it, since another takes it in.
     absorbed: Option<PartId>,
 }
 
@@ -133,7 +133,10 @@
                 if let Some(other) = absorbed {
                     let version = self.loads.get(&other).map_or(0, |l| l.version);
                     unit.conditions.push(Condition { key: other.key(), version });
-                    unit.changes.push(Change::Drop { key: other.key() });
+                    // Empty rather than gone: a late copy of what began it must not
+                    // find it as it was then.
+                    let value = self.load_value(other, &LoadRecord::default());
+                    unit.changes.push(Change::Set { key: other.key(), value, lease: None });
                     self.on_way.insert(Subject::Part(other), number);
                 }
                 self.on_way.insert(subject.clone(), number);
--- a/crates/dapplecroft-controller/src/core/commit/tests.rs
+++ b/crates/dapplecroft-controller/src/core/commit/tests.rs
@@ -2,7 +2,9 @@
 use crate::core::Holding;
 use crate::jobs::Job;
 use crate::options::Options;
+use crate::records::{LoadRecord, Span};
 use dapplecroft_wire::settings::Settings;
+use dapplecroft_wire::workers::ExitReason;
 use serde_json::json;
 
 fn core() -> Core {
@@ -62,3 +64,74 @@
         assert!(core.machines["i-1"].tasks.is_empty());
     }
 }
+
+// A part that another takes in was dropped. A copy of the transaction that had begun
+// it, without an answer and carried out late, would have found it as it was before,
+// not there, and brought back tasks that had ended or moved meanwhile.
+#[test]
+fn a_part_that_was_taken_in_never_looks_as_if_it_had_not_begun() {
+    let now = Instant::now();
+    let mut core = core();
+    core.apply("dc/format", Some(json!({"layout": 2})), 1, now);
+    let spec = |id: &str| {
+        json!({"stage": "open", "tasks": 2, "to": {"0": [[0, 1]]}, "spec": {"id": id, "lane": "c", "crew": "t",
+            "form": "sweep", "rank": "normal", "shares": 2, "cpus": 1.0, "gpus": 0.0, "memory_gb": 1.0,
+            "reckon_s": 10.0}})
+    };
+    core.apply("dc/j/run-1", Some(spec("run-1")), 2, now);
+    core.apply("dc/j/run-2", Some(spec("run-2")), 3, now);
+    let span = |job: &str, machine: &str, index: u32| {
+        let record = LoadRecord {
+            jobs: vec![job.into()],
+            machines: [(
+                machine.into(),
+                vec![Span { job: 0, first: index, last: index, attempt: 1, session: 1 }],
+            )]
+            .into(),
+            ..LoadRecord::default()
+        };
+        serde_json::to_value(record).unwrap()
+    };
+    let (one, other) = (PartId::new(0, 0), PartId::new(0, 1));
+    core.apply(&one.key(), Some(span("run-1", "i-1", 0)), 4, now);
+    core.apply(&other.key(), Some(span("run-2", "i-2", 0)), 5, now);
+    core.role.holdings.insert(0, Holding { epoch: 1, version: 1 });
+    core.learn_parts(0);
+    // A task of the first part has ended.
+    core.end(&TaskId { job: "run-1".into(), index: 0 }, 1, Some(ExitReason::Done), "i-1", now);
+    let unit = core.next_unit(true, false, now).unwrap();
+    assert_eq!((&unit.subject, unit.absorbed), (&Subject::Part(one), Some(other)));
+    let left = unit.unit.changes.iter().find(|c| c.key() == other.key()).unwrap();
+    assert!(matches!(left, Change::Set { .. }), "{left:?}");
+    core.unit_ended(&unit, UnitEnd::Committed(9), now);
+    assert_eq!(core.version(&other.key()), 9);
+    assert_eq!(core.open_job("run-2").unwrap().placed[&0].home, one);
+    assert!(core.copy_faults().is_empty(), "{:?}", core.copy_faults());
+    // Its number is free, it is taken in only once, and what begins it again names
+    // the version that it has.
+    assert!(!core.part_numbers(0).contains(&1));
+    core.end(&TaskId { job: "run-2".into(), index: 0 }, 1, None, "i-2", now);
+    let unit = core.next_unit(true, false, now).unwrap();
+    assert_eq!((&unit.subject, unit.absorbed), (&Subject::Part(one), None));
+    core.unit_ended(&unit, UnitEnd::Committed(10), now);
+    core.machines.get_mut("i-2").unwrap().part = Some(1);
+    core.apply(&one.key(), Some(json!({})), 11, now);
+    let Some(Job::Open(open)) = core.jobs.get_mut("run-2") else { panic!("not open") };
+    let placed = Placed {
+        attempt: 2,
+        machine: "i-2".into(),
+        home: other,
+        session: 1,
+        committed: false,
+        since: now,
+        running: None,
+        sent: 0,
+        stop: None,
+        freed: false,
+    };
+    open.placed.insert(1, placed);
+    core.book(&TaskId { job: "run-2".into(), index: 1 }, &"i-2".into(), 0, now);
+    let (unit, proposals) = core.part_unit(other).unwrap();
+    assert_eq!(proposals.len(), 1);
+    assert!(unit.conditions.contains(&Condition { key: other.key(), version: 9 }), "{:?}", unit.conditions);
+}
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -178,6 +178,13 @@
     pub weight: usize,
 }
 
+impl Load {
+    /// Whether it says nothing: another part has taken in what it had.
+    fn is_empty(&self) -> bool {
+        self.record == LoadRecord::default()
+    }
+}
+
 /// A controller's knowledge and decisions.
 pub struct Core {
     /// The platform's settings.
@@ -509,7 +516,8 @@
             }
         }
         summary.free_percent = (free * 100).checked_div(all).unwrap_or(0);
-        for (_, load) in self.loads.iter().filter(|(id, _)| self.is_holder(id.block)) {
+        let own = self.loads.iter().filter(|(id, load)| self.is_holder(id.block) && !load.is_empty());
+        for (_, load) in own {
             summary.parts += 1;
             summary.bytes += load.size;
         }
--- a/crates/dapplecroft-controller/src/core/parts.rs
+++ b/crates/dapplecroft-controller/src/core/parts.rs
@@ -190,7 +190,7 @@
     }
 
     /// Takes another part of the block into this one if both together leave
-    /// enough room: the fewer parts, the fewer changes. The other one is dropped
+    /// enough room: the fewer parts, the fewer changes. The other one is emptied
     /// in the transaction that writes this one.
     pub(super) fn absorb(&mut self, id: PartId) -> Option<PartId> {
         let part = id.part?;
@@ -199,6 +199,7 @@
         let lightest = self
             .loads
             .range(of)
+            .filter(|(_, load)| !load.is_empty())
             .map(|(other, _)| *other)
             .filter(|other| *other != id && !self.on_way.contains_key(&Subject::Part(*other)))
             .min_by_key(|other| self.part_weight(other))?;
@@ -348,7 +349,8 @@
     /// Numbers of parts that are in use, recorded or not.
     pub(super) fn part_numbers(&self, block: u32) -> BTreeSet<u32> {
         let of = PartId::new(block, 0)..=PartId::new(block, u32::MAX);
-        let recorded = self.loads.range(of.clone()).filter_map(|(id, _)| id.part);
+        let used = self.loads.range(of.clone()).filter(|(_, load)| !load.is_empty());
+        let recorded = used.filter_map(|(id, _)| id.part);
         recorded.chain(self.pending.range(of).filter_map(|(id, _)| id.part)).collect()
     }
 
--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -224,7 +224,14 @@
 
     /// Notes that a task's stay on a machine has ended, by proof, for whatever
     /// reason; `None`: the session, or the machine, is gone.
-    fn end(&mut self, task: &TaskId, attempt: u64, why: Option<ExitReason>, id: &str, now: Instant) {
+    pub(super) fn end(
+        &mut self,
+        task: &TaskId,
+        attempt: u64,
+        why: Option<ExitReason>,
+        id: &str,
+        now: Instant,
+    ) {
         let Some(Job::Open(job)) = self.jobs.get_mut(&task.job) else { return };
         // A replica is never done: whatever it ended by, it is wanted again.
         let service = job.is_service();
--- a/crates/dapplecroft-fakes/src/worker.rs
+++ b/crates/dapplecroft-fakes/src/worker.rs
@@ -29,7 +29,8 @@
     pub runs: BTreeMap<String, Duration>,
     /// Jobs whose tasks fail.
     pub fails: Vec<String>,
-    /// Whether task n of a job runs for 2n + 0.5 times as long: they end far apart.
+    /// Whether task n of a job that is named runs for 2n + 0.5 times as long, so
+    /// that they end far apart.
     pub per_task: bool,
 }
 
@@ -365,9 +366,15 @@
             self.set(&name, attempt, TaskState::Exited, Some(ExitReason::Error));
             return;
         }
-        let usual = self.timing.runs.get(&job).copied().unwrap_or(Duration::from_secs(10));
+        let named = self.timing.runs.get(&job).copied();
+        let usual = named.unwrap_or(Duration::from_secs(10));
         let index: u32 = name.rsplit_once('/').and_then(|(_, n)| n.parse().ok()).unwrap_or(0);
-        self.run_for(if self.timing.per_task { usual / 2 + usual * 2 * index } else { usual }).await;
+        self.run_for(if self.timing.per_task && named.is_some() {
+            usual / 2 + usual * 2 * index
+        } else {
+            usual
+        })
+        .await;
         self.referee.ended(&name, &self.machine);
         self.set(&name, attempt, TaskState::Exited, Some(ExitReason::Done));
     }
