--- a/crates/dapplecroft-controller/tests/stories/cluster.rs
+++ b/crates/dapplecroft-controller/tests/stories/cluster.rs
@@ -17,6 +17,7 @@
 pub const STATE: &str = "10.2.0.1:2379";
 pub const CLOUD: &str = "10.2.0.2:8443";
 pub const CANCEL: Duration = Duration::from_secs(47);
+/// Controllers of most stories.
 const NODES: usize = 3;
 
 type Running = Arc<Mutex<BTreeMap<String, Arc<Node>>>>;
@@ -72,6 +73,8 @@
     pub cloud: Arc<FakeCloud>,
     pub referee: Arc<Referee>,
     pub options: Options,
+    /// How many controllers there are.
+    pub nodes: usize,
     running: Running,
     /// Controllers cut off from all others.
     pub apart: Apart,
@@ -96,15 +99,15 @@
     SystemTime::UNIX_EPOCH + Duration::from_secs(1_700_000_000)
 }
 
-fn settings(n: usize, next: &Value) -> Settings {
-    let peers: Vec<Value> = (0..NODES)
+fn settings(n: usize, nodes: usize, next: &Value) -> Settings {
+    let peers: Vec<Value> = (0..nodes)
         .filter(|m| *m != n)
         .map(|m| json!({"host_name": host(m), "domain": "z", "endpoint": format!("10.0.0.{}:8081", m + 1)}))
         .collect();
     let text = json!({
         "host_name": host(n), "domain": "z", "listen": address(n), "back": format!("10.0.0.{}:8081", n + 1),
         "members": peers, "external": {"cloud": CLOUD, "state": STATE}, "unknown": true,
-        "facts": {"nodes": NODES, "zones": ["z"],
+        "facts": {"nodes": nodes, "zones": ["z"],
             "teams": [{"name": "free"}, {"name": "tight", "cpus": 8.0, "cpus_max": 16.0}],
             "objectives": [],
             "workers": {"report_s": 3.0, "lease_s": 27.0, "cancel_s": CANCEL.as_secs_f64()},
@@ -140,7 +143,7 @@
 
     /// Makes all controllers pass for the first version.
     pub fn hold_back(&self) {
-        for n in 0..NODES {
+        for n in 0..self.nodes {
             self.net.rule(Rule::all(&host(n), STATE, Action::Refuse).path("/multi").body(MARK));
         }
     }
@@ -164,10 +167,22 @@
         options: Options,
         next: Value,
         prepare: impl FnOnce(&Cluster),
+    ) -> Cluster {
+        Cluster::of(NODES, capacity, adjust, options, next, prepare).await
+    }
+
+    /// The same with so many controllers.
+    pub async fn of(
+        size: usize,
+        capacity: usize,
+        adjust: impl FnOnce(&mut WorkerTiming),
+        options: Options,
+        next: Value,
+        prepare: impl FnOnce(&Cluster),
     ) -> Cluster {
         let (net, state, referee) = (Net::new(), FakeState::new(), Referee::new(CANCEL));
         referee.limit("tight", 16.0);
-        let nodes: Vec<(String, String)> = (0..NODES).map(|n| (host(n), address(n))).collect();
+        let nodes: Vec<(String, String)> = (0..size).map(|n| (host(n), address(n))).collect();
         let mut timing = WorkerTiming {
             report: Duration::from_secs(3),
             lease: Duration::from_secs(27),
@@ -186,6 +201,7 @@
             cloud,
             referee,
             options,
+            nodes: size,
             running: Arc::default(),
             apart: Arc::default(),
             loops: Mutex::default(),
@@ -193,7 +209,7 @@
             next,
         };
         prepare(&cluster);
-        for n in 0..NODES {
+        for n in 0..size {
             cluster.start_node(n);
         }
         cluster.until("a leader", || cluster.leader().is_some()).await;
@@ -207,7 +223,7 @@
             *identities
         };
         let node = Node::new(Parts {
-            settings: Arc::new(settings(n, &self.next)),
+            settings: Arc::new(settings(n, self.nodes, &self.next)),
             options: self.options.clone(),
             identity: format!("process-{identity}"),
             transport: self.net.port(&host(n)),
@@ -242,7 +258,7 @@
     /// The node that holds the block, by its own belief and the records.
     pub fn leader(&self) -> Option<usize> {
         let record = self.state.value("dc/leader")?;
-        let n = (0..NODES).find(|n| record["host"] == host(*n))?;
+        let n = (0..self.nodes).find(|n| record["host"] == host(*n))?;
         let node = self.running.lock().unwrap().get(&host(n)).cloned()?;
         node.with(|core| core.leads(Instant::now().into_std())).then_some(n)
     }
@@ -282,7 +298,7 @@
 
     pub async fn hand_in(&self, id: &str, body: &Value) {
         for attempt in 0..60 {
-            let (status, stage) = self.ask_submit(attempt % NODES, id, body).await;
+            let (status, stage) = self.ask_submit(attempt % self.nodes, id, body).await;
             if status == 201 || status == 200 {
                 return;
             }
@@ -380,7 +396,7 @@
         self.referee.calm();
         let end = Instant::now() + Duration::from_secs(75);
         for id in jobs {
-            for n in 0..NODES {
+            for n in 0..self.nodes {
                 while self.show(n, id).await.0 != 200 {
                     assert!(Instant::now() < end, "{id} is not answered by {n}");
                     sleep(Duration::from_millis(500)).await;
@@ -410,14 +426,14 @@
 
     /// The number of a controller by its name.
     pub fn number(&self, name: &str) -> usize {
-        (0..NODES).find(|n| host(*n) == name).unwrap()
+        (0..self.nodes).find(|n| host(*n) == name).unwrap()
     }
 
     /// Waits for a job's stage as any running node tells it.
     pub async fn until_stage(&self, id: &str, stage: &str) {
         let end = Instant::now() + Duration::from_secs(300);
         loop {
-            let n = (0..NODES).find(|n| self.running.lock().unwrap().contains_key(&host(*n)));
+            let n = (0..self.nodes).find(|n| self.running.lock().unwrap().contains_key(&host(*n)));
             if let Some(n) = n {
                 let (_, answer) = self.show(n, id).await;
                 if answer["stage"] == stage {
--- a/crates/dapplecroft-controller/tests/stories/main.rs
+++ b/crates/dapplecroft-controller/tests/stories/main.rs
@@ -7,6 +7,7 @@
 mod cluster;
 mod ends;
 mod failures;
+mod five;
 mod fleet;
 mod gap;
 mod late;
