--- a/crates/dapplecroft-controller/tests/stories/cluster.rs
+++ b/crates/dapplecroft-controller/tests/stories/cluster.rs
@@ -348,6 +348,11 @@
         if status == 201 || status == 200 {
             self.referee.accepted(id);
         }
+        if status == 201
+            && let Some(why) = unacceptable(body)
+        {
+            self.referee.note(format!("accepted: {id}, {why}"));
+        }
         (status, stage)
     }
 
@@ -473,6 +478,21 @@
     }
 }
 
+/// Why a job must not be accepted, if it must not: a field is missing that may not be
+/// null, or no machine that there is has room for a task.
+pub fn unacceptable(body: &Value) -> Option<String> {
+    let whole = job("run-0", "free", 1, 1.0, "low");
+    let fields = whole.as_object()?.keys().filter(|f| !["hulls", "yard", "due_s"].contains(&f.as_str()));
+    let missing: Vec<&String> = fields.filter(|f| body[f.as_str()].is_null()).collect();
+    if !missing.is_empty() {
+        return Some(format!("without {missing:?}"));
+    }
+    let over = |field: &str, most: f64| body[field].as_f64().is_some_and(|x| x > most);
+    let fits_none = over("cpus", 16.0) || over("gpus", 0.0) || over("memory_gb", 64.0);
+    let unknown = !["free", "tight"].contains(&body["crew"].as_str()?);
+    (fits_none || unknown).then(|| "which can never run".into())
+}
+
 pub fn job(id: &str, team: &str, tasks: u32, cpus: f64, rank: &str) -> Value {
     json!({"id": id, "lane": "c", "crew": team, "form": "sweep", "rank": rank, "shares": tasks,
         "cpus": cpus, "gpus": 0.0, "memory_gb": cpus, "bundle": "img", "image_gb": 1.0, "hulls": null,
--- a/crates/dapplecroft-controller/tests/stories/looks.rs
+++ b/crates/dapplecroft-controller/tests/stories/looks.rs
@@ -1,6 +1,6 @@
 //! Users ask at all nodes, again and again, right after something became a fact.
 
-use crate::cluster::{Cluster, STATE, host, job, pause};
+use crate::cluster::{Cluster, STATE, host, job, pause, unacceptable};
 use dapplecroft_controller::Options;
 use dapplecroft_fakes::{Action, Rule, WorkerTiming};
 use serde_json::Value;
@@ -149,3 +149,52 @@
     }
     assert!(done >= 4 && withdrawn >= 4, "both happen: {done}, {withdrawn}");
 }
+
+#[test]
+fn a_job_that_must_not_be_accepted_is_caught() {
+    let good = job("run-1", "free", 1, 4.0, "normal");
+    assert_eq!(unacceptable(&good), None);
+    for (field, value) in
+        [("mark_s", Value::Null), ("shares", Value::Null), ("cpus", 17.0.into()), ("crew", "x".into())]
+    {
+        let mut body = good.clone();
+        body[field] = value;
+        assert!(unacceptable(&body).is_some(), "{field}");
+    }
+}
+
+// Odd requests at every node: what is missing, what fits nowhere, what is repeated, and
+// cancellations of what is done and of what nobody submitted.
+#[tokio::test(start_paused = true)]
+async fn odd_requests_are_answered_as_they_should_be_and_nothing_is_accepted_that_can_not_run() {
+    let c = Cluster::with(4, runs, Options::default()).await;
+    let good = job("run-20", "free", 2, 4.0, "normal");
+    c.hand_in("run-20", &good).await;
+    for n in 0..3 {
+        for field in good.as_object().unwrap().keys() {
+            if ["hulls", "yard", "due_s", "id"].contains(&field.as_str()) {
+                continue;
+            }
+            let mut body = good.clone();
+            body["id"] = format!("run-9{n}").into();
+            body[field] = Value::Null;
+            assert_eq!(c.ask_submit(n, "run-9", &body).await.0, 400, "{field}");
+        }
+        for (field, value) in [("cpus", 17.0.into()), ("memory_gb", 65.0.into()), ("crew", Value::from("x"))]
+        {
+            let mut body = good.clone();
+            body["id"] = format!("run-9{n}").into();
+            body[field] = value;
+            assert_eq!(c.ask_submit(n, "run-9", &body).await.0, 422, "{field}");
+        }
+        assert_eq!(c.ask_submit(n, "run-20", &good).await.0, 200, "a repeat");
+        assert_eq!(c.ask_withdraw(n, "run-404").await.0, 404);
+        assert_eq!(c.show(n, "run-404").await.0, 404);
+    }
+    c.until_stage("run-20", "done").await;
+    for n in 0..3 {
+        assert_eq!(c.ask_withdraw(n, "run-20").await, (200, "done".to_string()));
+        assert_eq!(c.ask_submit(n, "run-20", &good).await, (200, "done".to_string()));
+    }
+    c.assert_rules_kept();
+}
