--- a/crates/dapplecroft-controller/src/core/admission.rs
+++ b/crates/dapplecroft-controller/src/core/admission.rs
@@ -4,11 +4,12 @@
 use super::placing::Round;
 use crate::jobs::OpenJob;
 use crate::ranges::Ranges;
-use crate::records::{PartId, stored_size};
+use crate::records::{ShardId, stored_size};
 use dapplecroft_sched::{Amounts, Candidate, HasImage, best_fit};
 use dapplecroft_wire::peer::{BlockRoom, FreedRoom, RoomReply};
 use dapplecroft_wire::users::Rank;
-use std::collections::{BTreeMap, HashMap};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -33,19 +34,63 @@
 }
 
 /// What a block could start of a job.
-struct Fit {
+struct BlockFit {
     block: u32,
+    /// Tasks that may start.
     total: i64,
-    /// On machines that are in use already.
+    /// Those on machines that are in use already.
     tight: i64,
+    /// Those on machines with the image.
     with_image: i64,
+    /// Whether tasks of the job were admitted there before.
     used: bool,
 }
 
+/// How well a block suits `wanted` tasks of a job; the greatest is the best.
+/// Fields are compared in the order in which they stand here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct BlockScore {
+    /// Whether all may start there.
+    all: bool,
+    with_image: i64,
+    tight: i64,
+    used: bool,
+    /// Of blocks that take all, the one with the least room; of others, the one
+    /// with the most.
+    room: i64,
+    /// Of equal ones the first.
+    block: Reverse<u32>,
+}
+
+impl BlockFit {
+    fn score(&self, wanted: i64) -> BlockScore {
+        let all = self.total >= wanted;
+        BlockScore {
+            all,
+            with_image: self.with_image.min(wanted),
+            tight: self.tight.min(wanted),
+            used: self.used,
+            room: if all { -self.total } else { self.total },
+            block: Reverse(self.block),
+        }
+    }
+}
+
+/// The block that a job is bound to whose zones depend on each other: its
+/// constraints hold across all its tasks, so one holder has to see all of them.
+fn bound_block(job: &OpenJob) -> Option<u32> {
+    // What was taken back from a block may be on a machine there all the same,
+    // placed just before. What is done binds nothing any more, though the record
+    // still says where it was admitted.
+    let placed = job.placed.values().map(|placed| placed.home.block);
+    let waiting = job.waiting.keys().chain(job.revoking.keys());
+    placed.chain(waiting.copied()).next()
+}
+
 impl Core {
     /// What has become free in this holder's blocks since their records.
     pub fn freed_room(&self) -> RoomReply {
-        let mut parts: BTreeMap<PartId, BlockRoom> = BTreeMap::new();
+        let mut parts: BTreeMap<ShardId, BlockRoom> = BTreeMap::new();
         for machine in self.machines.values().filter(|m| self.is_holder(m.block)) {
             let mut freed = Amounts::default();
             let mut home = None;
@@ -57,12 +102,12 @@
                 }
             }
             if let Some(home) = home {
-                let version = self.loads.get(&home).map_or(0, |l| l.version);
+                let version = self.shards.get(&home).map_or(0, |l| l.version);
                 let entry = parts.entry(home).or_insert_with(|| BlockRoom {
                     block: home.block,
                     version,
                     freed: Vec::new(),
-                    part: home.part,
+                    part: home.shard,
                 });
                 entry.freed.push(FreedRoom {
                     machine: machine.id.to_string(),
@@ -79,8 +124,8 @@
     /// only on top of the record that it was told with, and not for long.
     pub fn take_room(&mut self, reply: &RoomReply, now: Instant) {
         for block in &reply.blocks {
-            let home = PartId { block: block.block, part: block.part };
-            let current = self.loads.get(&home).map_or(0, |l| l.version);
+            let home = ShardId { block: block.block, shard: block.part };
+            let current = self.shards.get(&home).map_or(0, |l| l.version);
             if current != block.version || self.is_holder(block.block) {
                 continue;
             }
@@ -93,15 +138,15 @@
                 })
                 .collect();
             self.hints.insert(home, Hint { version: current, at: now, freed });
-            self.wakes.place = true;
+            self.wakeups.place = true;
         }
     }
 
     /// What another holder has told to be free on machines since their records.
     pub(super) fn hinted(&self, block: u32, now: Instant) -> Vec<&Hint> {
-        let of = PartId::whole(block)..=PartId::new(block, u32::MAX);
-        let fresh = |id: &PartId, hint: &Hint| {
-            let current = self.loads.get(id).map_or(0, |l| l.version);
+        let of = ShardId::whole(block)..=ShardId::new(block, u32::MAX);
+        let fresh = |id: &ShardId, hint: &Hint| {
+            let current = self.shards.get(id).map_or(0, |l| l.version);
             now.saturating_duration_since(hint.at) < HINT_LASTS && hint.version == current
         };
         self.hints.range(of).filter(|(id, hint)| fresh(id, hint)).map(|(_, hint)| hint).collect()
@@ -136,9 +181,14 @@
         }
     }
 
-    fn fit(&self, id: &Arc<str>, job: &OpenJob, block: u32, round: &Round, now: Instant) -> Fit {
-        let mut fit =
-            Fit { block, total: 0, tight: 0, with_image: 0, used: job.record.admitted.contains_key(&block) };
+    fn fit(&self, id: &Arc<str>, job: &OpenJob, block: u32, round: &Round, now: Instant) -> BlockFit {
+        let mut fit = BlockFit {
+            block,
+            total: 0,
+            tight: 0,
+            with_image: 0,
+            used: job.record.admitted.contains_key(&block),
+        };
         for (_, c) in self.candidates(id, job, block, &round.reserved, now) {
             let n = job.need.amounts.times_in(&(c.capacity - c.booked)).max(1);
             fit.total += n;
@@ -173,37 +223,8 @@
         if round.is_full(None, &need) {
             return self.admit_ahead(id, left, round, now);
         }
-        let constrained = job.spec.one_zone || job.spec.spread;
-        let mut fits: Vec<Fit> = self
-            .roomy
-            .iter()
-            .filter(|(block, machines)| {
-                let most = machines.last().map_or(-1, |(free, _)| *free);
-                (most >= job.need.amounts.cpus || !self.hinted(**block, now).is_empty())
-                    && self.is_served(**block)
-            })
-            .map(|(block, _)| self.fit(id, job, *block, round, now))
-            .filter(|f| f.total > 0)
-            .collect();
-        if constrained {
-            // Its constraints hold across all its tasks, so one holder has to
-            // see all of them.
-            // What was taken back from a block may be on a machine there all the
-            // same, placed just before. What is done binds nothing any more, though
-            // the record still says where it was admitted.
-            let on = job.placed.values().map(|p| p.home.block);
-            let waiting = job.waiting.keys().chain(job.revoking.keys());
-            let used = on.chain(waiting.copied()).next();
-            fits.retain(|f| used.is_none_or(|b| b == f.block));
-        }
-        fits.sort_by_key(|f| {
-            // Best fit among blocks as within them: small tasks fill what is in
-            // use, and leave whole machines to large ones.
-            let all = f.total >= left;
-            let total = if all { std::cmp::Reverse(f.total) } else { std::cmp::Reverse(-f.total) };
-            let image = f.with_image.min(left);
-            std::cmp::Reverse((all, image, f.tight.min(left), f.used, total, std::cmp::Reverse(f.block)))
-        });
+        let constrained = job.is_constrained();
+        let mut fits = self.block_fits(id, job, left, round, now);
         if constrained {
             fits.truncate(1);
             if let Some(fit) = fits.first_mut() {
@@ -238,6 +259,37 @@
         }
     }
 
+    /// The blocks in which a job's tasks may start now, the best for `wanted` tasks
+    /// first. Best fit among blocks as within them: small tasks fill what is in
+    /// use, and leave whole machines to large ones.
+    fn block_fits(
+        &self,
+        id: &Arc<str>,
+        job: &OpenJob,
+        wanted: i64,
+        round: &Round,
+        now: Instant,
+    ) -> Vec<BlockFit> {
+        let may_fit = |block: u32, machines: &BTreeSet<(i64, Arc<str>)>| {
+            let most = machines.last().map_or(-1, |(free, _)| *free);
+            most >= job.need.amounts.cpus || !self.hinted(block, now).is_empty()
+        };
+        let mut fits: Vec<BlockFit> = self
+            .machines_by_free_cpus
+            .iter()
+            .filter(|(block, machines)| may_fit(**block, machines) && self.is_served(**block))
+            .map(|(block, _)| self.fit(id, job, *block, round, now))
+            .filter(|fit| fit.total > 0)
+            .collect();
+        if job.is_constrained()
+            && let Some(bound) = bound_block(job)
+        {
+            fits.retain(|fit| fit.block == bound);
+        }
+        fits.sort_by_key(|fit| Reverse(fit.score(wanted)));
+        fits
+    }
+
     /// `false`: the job's record would outgrow a value. What is admitted has to
     /// end first; that makes it smaller again.
     fn admit_to(&mut self, id: &Arc<str>, block: u32, count: u32, round: &mut Round, now: Instant) -> bool {
@@ -285,7 +337,7 @@
         let need = job.need.clone();
         let cpus = need.amounts.cpus;
         let urgent = job.spec.priority < Rank::Normal;
-        let limited = job.spec.one_zone || job.spec.spread || need.types.is_some() || need.zone.is_some();
+        let limited = job.is_constrained() || need.types.is_some() || need.zone.is_some();
         let service = job.is_service();
         // What can't run on spot machines is taken ahead only if it is urgent,
         // since it may have to be made room for.
@@ -303,12 +355,12 @@
             .filter(|(b, _)| self.is_served(**b) && (round.scarce || service || !self.is_holder(**b)))
             .map(|(b, size)| {
                 let free = size / part - round.backlog.get(b).copied().unwrap_or(0);
-                (job.record.admitted.contains_key(b), free / cpus, std::cmp::Reverse(*b))
+                (job.record.admitted.contains_key(b), free / cpus, Reverse(*b))
             })
             .filter(|(_, n, _)| *n > 0)
             .max();
         match best {
-            Some((_, most, std::cmp::Reverse(block))) if left > 0 => {
+            Some((_, most, Reverse(block))) if left > 0 => {
                 self.admit_to(id, block, left.min(most) as u32, round, now);
             }
             None if !urgent => round.ahead_full = Some(cpus),
@@ -336,7 +388,7 @@
         for block in stalled {
             let Some(job) = self.open_job(id) else { return };
             let elsewhere = self
-                .roomy
+                .machines_by_free_cpus
                 .iter()
                 .filter(|(b, m)| {
                     **b != block && m.last().is_some_and(|(free, _)| *free >= job.need.amounts.cpus)
@@ -345,7 +397,7 @@
             let served = self.is_served(block);
             // Constraints on zones hold across all tasks of a job: as long as one is
             // on a machine, the others stay with the holder that sees it.
-            let constrained = job.spec.one_zone || job.spec.spread;
+            let constrained = job.is_constrained();
             if !elsewhere && served || constrained && !job.placed.is_empty() {
                 continue;
             }
--- a/crates/dapplecroft-controller/src/core/blocks.rs
+++ b/crates/dapplecroft-controller/src/core/blocks.rs
@@ -11,7 +11,7 @@
 
 /// A lease of a block of machines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Holding {
+pub struct BlockLease {
     /// Its epoch.
     pub epoch: u64,
     /// Version of the block's record.
@@ -20,7 +20,7 @@
 
 /// A block that the leader leases to a controller.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Lease {
+pub struct LeaseGrant {
     /// The block.
     pub block: u32,
     /// The record.
@@ -53,7 +53,7 @@
     /// go to the least loaded controllers, and one block at a time moves from
     /// the most to the least loaded if that evens them out. The leader's own
     /// work grows with the number of blocks, so it holds fewer of many.
-    pub fn wanted_leases(&self, now: Instant) -> Vec<Lease> {
+    pub fn wanted_leases(&self, now: Instant) -> Vec<LeaseGrant> {
         let Some(leadership) = self.role.leadership.filter(|l| *l <= self.followed) else {
             return Vec::new();
         };
@@ -125,17 +125,17 @@
         leases
     }
 
-    fn lease(&self, block: u32, host: &str, leadership: u64) -> Option<Lease> {
+    fn lease(&self, block: u32, host: &str, leadership: u64) -> Option<LeaseGrant> {
         let live = self.live.get(host)?;
         let (old, version) = self.blocks.get(&block).map_or((0, 0), |(b, v)| (b.epoch, *v));
         // The epoch comes from a revision of the state service, and only grows.
         let epoch = (old + 1).max(leadership);
         let record = BlockRecord { host: host.to_string(), identity: live.identity.clone(), epoch };
-        Some(Lease { block, record, version })
+        Some(LeaseGrant { block, record, version })
     }
 
     /// The transaction that gives leases, as many as one holds.
-    pub fn lease_transaction(&self, leases: &[Lease]) -> Option<Transaction> {
+    pub fn lease_transaction(&self, leases: &[LeaseGrant]) -> Option<Transaction> {
         let leadership = self.role.leadership?;
         let mut conditions = vec![Condition { key: records::LEADER.into(), version: leadership }];
         let mut changes = Vec::new();
@@ -157,29 +157,29 @@
             // It has just stepped down: the leader sees nobody behind these blocks.
             return;
         }
-        let taken: Vec<(u32, Holding)> = self
+        let taken: Vec<(u32, BlockLease)> = self
             .blocks
             .iter()
             .filter(|(n, (b, version))| {
                 b.identity == self.identity
                     && *version <= self.followed
-                    && !self.role.holdings.contains_key(n)
+                    && !self.role.leased_blocks.contains_key(n)
             })
-            .map(|(n, (b, version))| (*n, Holding { epoch: b.epoch, version: *version }))
+            .map(|(n, (b, version))| (*n, BlockLease { epoch: b.epoch, version: *version }))
             .collect();
         if taken.is_empty() {
             return;
         }
         tracing::info!(blocks = ?taken.iter().map(|(n, h)| (*n, h.epoch)).collect::<Vec<_>>(), "blocks taken up");
-        for (block, holding) in taken {
-            self.hold(block, holding, now);
+        for (block, block_lease) in taken {
+            self.hold(block, block_lease, now);
         }
     }
 
     /// Takes note of holding a block, and forgets what was believed of its
     /// machines: only what they tell this holder counts.
-    fn hold(&mut self, block: u32, holding: Holding, now: Instant) {
-        self.role.holdings.insert(block, holding);
+    fn hold(&mut self, block: u32, block_lease: BlockLease, now: Instant) {
+        self.role.leased_blocks.insert(block, block_lease);
         self.learn_parts(block);
         let mut jobs: Vec<Arc<str>> = Vec::new();
         for machine in self.machines.values_mut().filter(|m| m.block == block) {
@@ -196,17 +196,17 @@
                 placed.since = now;
             }
         }
-        self.plan_move(block, now);
-        self.wakes.place = true;
-        self.wakes.flush = true;
-        self.wakes.fleet = true;
+        self.plan_migration(block, now);
+        self.wakeups.place = true;
+        self.wakeups.flush = true;
+        self.wakeups.fleet = true;
     }
 
     /// Takes note of having lost a block. Proposals that are on their way are
     /// settled by their commits, which name the block's version; the others are
     /// void, and what its workers proved is proven again to the next holder.
     pub(super) fn lose_block(&mut self, block: u32, why: &str, now: Instant) {
-        if self.role.holdings.remove(&block).is_none() {
+        if self.role.leased_blocks.remove(&block).is_none() {
             return;
         }
         tracing::info!(block, why, "block lost");
@@ -219,18 +219,18 @@
                 if let Some(machine) = self.machines.get_mut(&p.machine) {
                     let before = machine.room().cpus;
                     machine.booked += amounts;
-                    reindex(&mut self.roomy, machine, before);
+                    reindex(&mut self.machines_by_free_cpus, machine, before);
                 }
             }
             let placed = &job.placed;
             job.exits.retain(|i, _| placed.get(i).is_none_or(|p| p.home.block != block));
         }
         self.drop_proposals_in(block);
-        self.lazy.retain(|(_, part)| part.block != block);
+        self.commits.drop_deferred_ends_of(block);
         self.inherited.retain(|id, _| id.block != block);
         self.pending.retain(|id, _| id.block != block);
         let machines = &self.machines;
-        self.ghosts.retain(|_, on| machines.get(on).is_none_or(|m| m.block != block));
+        self.unexpected_tasks.retain(|_, on| machines.get(on).is_none_or(|m| m.block != block));
         for machine in self.machines.values_mut().filter(|m| m.block == block) {
             machine.reset(now);
         }
@@ -244,13 +244,13 @@
     }
 
     /// A holding under which this process may act now.
-    pub fn holding(&self, block: u32, now: Instant) -> Option<Holding> {
-        self.role.holdings.get(&block).copied().filter(|_| self.in_contact(now))
+    pub fn active_lease(&self, block: u32, now: Instant) -> Option<BlockLease> {
+        self.role.leased_blocks.get(&block).copied().filter(|_| self.in_contact(now))
     }
 
     /// Whether this process holds a block, in contact or not.
     pub fn is_holder(&self, block: u32) -> bool {
-        self.role.holdings.contains_key(&block)
+        self.role.leased_blocks.contains_key(&block)
     }
 
     /// The node, other than this one, that workers of a block should report to.
--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -3,7 +3,10 @@
 use super::{Core, Subject};
 use crate::jobs::{Job, OpenJob, Placed, Stop, TaskId};
 use crate::legacy;
-use crate::records::{FoldRecord, JobRecord, Key, LayoutRecord, LiveRecord, LoadRecord, PartId};
+use crate::records::{
+    BlockRecord, CompletedTasksRecord, JobRecord, Key, LayoutRecord, LeaderRecord, LiveRecord, ShardId,
+    ShardRecord,
+};
 use dapplecroft_wire::cloud::{Catalog, MachineType};
 use dapplecroft_wire::state::{Followed, Item};
 use dapplecroft_wire::users::Rank;
@@ -14,13 +17,15 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-/// Some of the machine types, and in how many records they are.
+/// Some of the machine types, and in how many records all of them are.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(super) struct CatalogPart {
-    /// How many records.
-    pub of: u32,
-    /// The types.
-    pub hulls: Vec<MachineType>,
+pub(super) struct CatalogShard {
+    /// How many records there are.
+    #[serde(rename = "of")]
+    pub total: u32,
+    /// The types in this one.
+    #[serde(rename = "hulls")]
+    pub machine_types: Vec<MachineType>,
 }
 
 /// Unreadable records are told of one by one up to so many.
@@ -74,10 +79,10 @@
         // What was leased to this process may be known well enough by now.
         let waits = |version: u64| version <= followed;
         let leased = self.blocks.iter().any(|(n, (b, version))| {
-            b.identity == self.identity && waits(*version) && !self.role.holdings.contains_key(n)
+            b.identity == self.identity && waits(*version) && !self.role.leased_blocks.contains_key(n)
         });
         if leased || self.role.leadership.is_some_and(waits) && !self.fleet.ready() {
-            self.wakes.role = true;
+            self.wakeups.role = true;
         }
     }
 
@@ -95,7 +100,7 @@
         log.sort_by_key(|l| {
             let key = l.set.as_deref().or(l.drop.as_deref()).unwrap_or_default();
             let class = match Key::parse(key) {
-                Some(Key::Format | Key::Job(_) | Key::Fold(..)) => 0,
+                Some(Key::Format | Key::Job(_) | Key::CompletedTasks(..)) => 0,
                 Some(Key::Group(_)) => 1,
                 _ => 2,
             };
@@ -114,22 +119,9 @@
     /// Takes over one change. Changes arrive from the watch, from own commits
     /// and from single readings, so one that is not newer is ignored.
     pub fn apply(&mut self, key: &str, value: Option<Value>, version: u64, now: Instant) {
-        let known = self.version(key).max(self.dropped.get(key).copied().unwrap_or(0));
-        if version <= known {
+        if !self.note_version(key, value.is_some(), version) {
             return;
         }
-        match &value {
-            Some(_) => {
-                self.dropped.remove(key);
-                self.versions.insert(key.to_string(), version);
-            }
-            None => {
-                self.versions.remove(key);
-                if version > self.followed {
-                    self.dropped.insert(key.to_string(), version);
-                }
-            }
-        }
         match Key::parse(key) {
             Some(Key::Format) => {
                 if let Some(record) = self.read::<LayoutRecord>(key, value) {
@@ -138,93 +130,56 @@
             }
             Some(Key::Mark(host)) => {
                 if let Some(record) = self.read::<LayoutRecord>(key, value) {
-                    let known = self.marks.entry(host.to_string()).or_default();
-                    *known = record.layout.max(*known);
-                    self.wakes.role = true;
+                    self.apply_mark(host, record);
                 }
             }
             Some(Key::Job(id)) => {
-                if let Some(value) = value
-                    && let Some(record) = self.readable(key, legacy::read_job(value))
-                {
+                if let Some(record) = value.and_then(|v| self.readable(key, legacy::read_job(v))) {
                     self.apply_job(id, record, version, now);
                 }
             }
-            Some(Key::Fold(id, part)) => {
-                let record = value.and_then(|v| self.read::<FoldRecord>(key, Some(v)));
-                self.apply_fold(id, part, record);
+            Some(Key::CompletedTasks(id, part)) => {
+                let record = self.read::<CompletedTasksRecord>(key, value);
+                self.apply_completed_tasks(id, part, record);
             }
-            Some(Key::Load(id)) => {
+            Some(Key::Shard(id)) => {
                 let size = value.as_ref().map_or(0, |v| v.to_string().len());
-                let record = match value {
-                    None => Some(LoadRecord::default()),
-                    Some(v) if id.part.is_none() => self.readable(key, legacy::read_load(v)),
-                    Some(v) => self.read::<LoadRecord>(key, Some(v)),
-                };
-                if let Some(record) = record {
-                    self.apply_load(id, record, size, version, now);
+                if let Some(record) = self.read_shard(id, key, value) {
+                    self.apply_shard(id, record, size, version, now);
                 }
             }
-            Some(Key::Group(name)) => match value {
-                Some(v) => {
-                    if let Some(record) = self.readable(key, legacy::read_group(v)) {
-                        self.apply_group(name, Some(record), version, now);
-                    }
+            Some(Key::Group(name)) => {
+                let dropped = value.is_none();
+                let record = value.and_then(|v| self.readable(key, legacy::read_group(v)));
+                if dropped || record.is_some() {
+                    self.apply_group(name, record, version, now);
                 }
-                None => self.apply_group(name, None, version, now),
-            },
+            }
             Some(Key::Leader) => {
-                let record = value.and_then(|v| self.read(key, Some(v)));
-                self.leader = record.map(|r| (r, version));
-                self.wakes.role = true;
-                if self.role.leadership.is_some_and(|own| own != version) {
-                    self.resign("the leader's key changed", now);
-                }
+                let record = self.read(key, value);
+                self.apply_leader(record, version, now);
             }
             Some(Key::Block(block)) => {
-                match value.and_then(|v| self.read(key, Some(v))) {
-                    Some(record) => self.blocks.insert(block, (record, version)),
-                    None => self.blocks.remove(&block),
-                };
-                self.wakes.role = true;
-                if self.role.holdings.get(&block).is_some_and(|own| own.version != version) {
-                    self.lose_block(block, "leased anew", now);
-                }
+                let record = self.read(key, value);
+                self.apply_block(block, record, version, now);
             }
             Some(Key::Live(host)) => {
-                match value.and_then(|v| self.read::<LiveRecord>(key, Some(v))) {
-                    Some(record) => {
-                        let same = self.live.get(host).is_some_and(|l| l.identity == record.identity);
-                        if !same {
-                            self.live_since.insert(host.to_string(), now);
-                        }
-                        self.live.insert(host.to_string(), record);
-                    }
-                    None => {
-                        self.live.remove(host);
-                        self.live_since.remove(host);
-                    }
-                }
-                self.wakes.role = true;
+                let record = self.read(key, value);
+                self.apply_live(host, record, now);
             }
             Some(Key::Catalog(None)) => {
                 if let Some(catalog) = self.read::<Catalog>(key, value)
-                    && self.catalog_parts.is_empty()
+                    && self.catalog_shards.is_empty()
                 {
                     self.know_types(catalog);
                 }
             }
-            Some(Key::Catalog(Some(part))) => {
-                match value.and_then(|v| self.read::<CatalogPart>(key, Some(v))) {
-                    Some(record) => self.catalog_parts.insert(part, record),
-                    None => self.catalog_parts.remove(&part),
-                };
-                if let Some(catalog) = self.recorded_types() {
-                    self.know_types(catalog);
-                }
+            Some(Key::Catalog(Some(number))) => {
+                let record = self.read(key, value);
+                self.apply_catalog_shard(number, record);
             }
             Some(Key::Drain(block)) => {
-                match value.and_then(|v| self.read(key, Some(v))) {
+                match self.read(key, value) {
                     Some(record) => self.drains.insert(block, (record, version)),
                     None => self.drains.remove(&block),
                 };
@@ -233,6 +188,82 @@
         }
     }
 
+    /// Notes the version of a key; `false`: as much or more is known already.
+    fn note_version(&mut self, key: &str, exists: bool, version: u64) -> bool {
+        let known = self.version(key).max(self.dropped.get(key).copied().unwrap_or(0));
+        if version <= known {
+            return false;
+        }
+        if exists {
+            self.dropped.remove(key);
+            self.versions.insert(key.to_string(), version);
+        } else {
+            self.versions.remove(key);
+            if version > self.followed {
+                self.dropped.insert(key.to_string(), version);
+            }
+        }
+        true
+    }
+
+    fn apply_mark(&mut self, host: &str, record: LayoutRecord) {
+        let known = self.marks.entry(host.to_string()).or_default();
+        *known = record.layout.max(*known);
+        self.wakeups.role = true;
+    }
+
+    /// The record of what runs in a shard; empty if it was dropped.
+    fn read_shard(&mut self, id: ShardId, key: &str, value: Option<Value>) -> Option<ShardRecord> {
+        match value {
+            None => Some(ShardRecord::default()),
+            Some(value) if id.shard.is_none() => self.readable(key, legacy::read_shard(value)),
+            Some(value) => self.read(key, Some(value)),
+        }
+    }
+
+    fn apply_leader(&mut self, record: Option<LeaderRecord>, version: u64, now: Instant) {
+        self.leader = record.map(|r| (r, version));
+        self.wakeups.role = true;
+        if self.role.leadership.is_some_and(|own| own != version) {
+            self.resign("the leader's key changed", now);
+        }
+    }
+
+    fn apply_block(&mut self, block: u32, record: Option<BlockRecord>, version: u64, now: Instant) {
+        match record {
+            Some(record) => self.blocks.insert(block, (record, version)),
+            None => self.blocks.remove(&block),
+        };
+        self.wakeups.role = true;
+        if self.role.leased_blocks.get(&block).is_some_and(|own| own.version != version) {
+            self.lose_block(block, "leased anew", now);
+        }
+    }
+
+    fn apply_live(&mut self, host: &str, record: Option<LiveRecord>, now: Instant) {
+        self.wakeups.role = true;
+        let Some(record) = record else {
+            self.live.remove(host);
+            self.live_since.remove(host);
+            return;
+        };
+        let same = self.live.get(host).is_some_and(|live| live.identity == record.identity);
+        if !same {
+            self.live_since.insert(host.to_string(), now);
+        }
+        self.live.insert(host.to_string(), record);
+    }
+
+    fn apply_catalog_shard(&mut self, number: u32, record: Option<CatalogShard>) {
+        match record {
+            Some(record) => self.catalog_shards.insert(number, record),
+            None => self.catalog_shards.remove(&number),
+        };
+        if let Some(catalog) = self.recorded_types() {
+            self.know_types(catalog);
+        }
+    }
+
     /// A leader has the types from the cloud, with the present prices.
     fn know_types(&mut self, catalog: Catalog) {
         if self.role.leadership.is_none() || self.catalog.is_none() {
@@ -243,33 +274,34 @@
 
     /// The machine types as their records say, once all of those are known.
     pub(super) fn recorded_types(&self) -> Option<Catalog> {
-        let of = self.catalog_parts.get(&0)?.of;
-        let mut hulls = Vec::new();
-        for n in 0..of {
-            hulls.extend(self.catalog_parts.get(&n).filter(|p| p.of == of)?.hulls.iter().cloned());
+        let total = self.catalog_shards.get(&0)?.total;
+        let mut machine_types = Vec::new();
+        for number in 0..total {
+            let shard = self.catalog_shards.get(&number).filter(|shard| shard.total == total)?;
+            machine_types.extend(shard.machine_types.iter().cloned());
         }
-        Some(Catalog { hulls })
+        Some(Catalog { machine_types })
     }
 
     /// Completed tasks in a record of their own.
-    fn apply_fold(&mut self, id: &str, part: u32, record: Option<FoldRecord>) {
+    fn apply_completed_tasks(&mut self, id: &str, part: u32, record: Option<CompletedTasksRecord>) {
         let id: Arc<str> = id.into();
         match record {
             Some(record) if !matches!(self.jobs.get(&id), Some(Job::Final { .. })) => {
-                self.folds.entry(id.clone()).or_default().insert(part, record.done);
+                self.completed_records.entry(id.clone()).or_default().insert(part, record.done);
             }
             Some(_) => {
-                self.litter.insert(crate::records::fold_key(&id, part));
+                self.obsolete_keys.insert(crate::records::completed_tasks_key(&id, part));
             }
             None => {
-                if let Some(own) = self.folds.get_mut(&id) {
+                if let Some(own) = self.completed_records.get_mut(&id) {
                     own.remove(&part);
                 }
             }
         }
-        let known = self.folds.get(&id).cloned().unwrap_or_default();
+        let known = self.completed_records.get(&id).cloned().unwrap_or_default();
         if let Some(job) = self.open_job_mut(&id) {
-            job.folds = known;
+            job.completed_records = known;
             self.rederive(&id);
         }
     }
@@ -308,22 +340,22 @@
             None => {
                 let Some(job) = OpenJob::new(record, version, now) else { return };
                 let mut job = job;
-                job.folds = self.folds.get(&id).cloned().unwrap_or_default();
+                job.completed_records = self.completed_records.get(&id).cloned().unwrap_or_default();
                 self.open.insert(id.clone());
                 self.jobs.insert(id.clone(), Job::Open(Box::new(job)));
-                self.reapply_loads(&id, now);
+                self.reapply_shards(&id, now);
             }
         }
-        self.wakes.place = true;
+        self.wakeups.place = true;
         self.stop_withdrawn(&id);
         self.rederive(&id);
         self.drop_unadmitted(&id);
         // What was proposed on this admission can be committed now.
         if let Some(job) = self.open_job(&id) {
             let urgent = job.spec.priority < Rank::Normal;
-            let own: BTreeSet<PartId> =
+            let own: BTreeSet<ShardId> =
                 job.placed.values().filter(|p| !p.committed).map(|p| p.home).collect();
-            own.into_iter().for_each(|part| self.mark_part(part, urgent));
+            own.into_iter().for_each(|shard| self.mark_shard(shard, urgent));
         }
         self.finish_if_over(&id);
     }
@@ -336,7 +368,7 @@
         }
         for placed in job.placed.values_mut() {
             placed.stop = Some(Stop::Withdrawn);
-            self.wakes.command.insert(placed.machine.clone());
+            self.wakeups.command.insert(placed.machine.clone());
         }
         job.admitting.clear();
         job.revoking.clear();
@@ -373,9 +405,10 @@
             self.teams.book(&team, amounts.times(-counted));
             self.jobs.remove(id);
         }
-        let folds = self.folds.remove(id).unwrap_or_default();
-        self.litter.extend(folds.keys().map(|part| crate::records::fold_key(id, *part)));
-        self.sent_at.remove(&Subject::Job(id.clone()));
+        let completed_records = self.completed_records.remove(id).unwrap_or_default();
+        self.obsolete_keys
+            .extend(completed_records.keys().map(|part| crate::records::completed_tasks_key(id, *part)));
+        self.commits.forget_sent(&Subject::Job(id.clone()));
         self.open.remove(id);
         self.waiting.remove(id);
     }
--- a/crates/dapplecroft-controller/src/core/displace.rs
+++ b/crates/dapplecroft-controller/src/core/displace.rs
@@ -12,7 +12,7 @@
 /// Most tasks stopped at a time.
 const MAX_DISPLACED: usize = 40;
 /// Pause between two looks for work to displace, which go over all machines.
-const EVERY: Duration = Duration::from_millis(250);
+const DISPLACEMENT_INTERVAL: Duration = Duration::from_millis(250);
 
 /// A machine with work that may have to give way.
 struct Host {
@@ -79,7 +79,7 @@
 impl Core {
     /// A machine of an own block as drains and displacement see it.
     pub(super) fn slot(&self, machine: &Machine, now: Instant) -> Slot {
-        let epoch = self.role.holdings.get(&machine.block).map(|h| h.epoch);
+        let epoch = self.role.leased_blocks.get(&machine.block).map(|h| h.epoch);
         Slot {
             machine: machine.id.to_string(),
             machine_type: machine.machine_type.clone(),
@@ -111,7 +111,7 @@
                 ran,
                 movable: placed.committed && ran <= oldest && !job.is_service(),
                 leaving: placed.stop.is_some(),
-                rank: self.standing(job),
+                rank: self.effective_rank(job),
                 // A replica gives way to a higher rank alone.
                 beyond_guarantee: !job.is_service()
                     && self.teams.get(&job.spec.team).is_some_and(|b| b.beyond_guarantee()),
@@ -130,8 +130,9 @@
         // Among ordinary work a guarantee is served first, but stops nothing:
         // work that is stopped for it waits in its turn, and so on.
         let claimants: Vec<&Unplaced> = unplaced.iter().filter(|u| urgent(u)).collect();
-        let recent = self.displaced.is_some_and(|at| now.saturating_duration_since(at) < EVERY);
-        if claimants.is_empty() || recent || self.role.holdings.is_empty() {
+        let recent =
+            self.displaced.is_some_and(|at| now.saturating_duration_since(at) < DISPLACEMENT_INTERVAL);
+        if claimants.is_empty() || recent || self.role.leased_blocks.is_empty() {
             return;
         }
         self.displaced = Some(now);
@@ -185,7 +186,7 @@
         if placed.stop.is_none() {
             placed.stop = Some(why);
             let machine: Arc<str> = placed.machine.clone();
-            self.wakes.command.insert(machine);
+            self.wakeups.command.insert(machine);
         }
     }
 }
--- a/crates/dapplecroft-controller/src/core/drain.rs
+++ b/crates/dapplecroft-controller/src/core/drain.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 /// Pause between two looks, which go over a block's machines.
-const EVERY: Duration = Duration::from_secs(1);
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// What a holder remembers of drains and of how full machines were.
 #[derive(Debug, Default)]
@@ -28,7 +28,7 @@
 impl Core {
     /// The next step of repacking: a change of a drain's record, if any.
     pub fn drain_step(&mut self, now: Instant) -> Option<Unit> {
-        if self.role.holdings.is_empty() || !self.in_contact(now) || self.draining.writing {
+        if self.role.leased_blocks.is_empty() || !self.in_contact(now) || self.draining.writing {
             return None;
         }
         let begun = self.drains.iter().find(|(block, _)| self.is_holder(**block));
@@ -36,7 +36,7 @@
             let (record, version) = (record.clone(), *version);
             return self.continue_drain(block, &record, version, now);
         }
-        if self.draining.looked.is_some_and(|at| now.saturating_duration_since(at) < EVERY) {
+        if self.draining.looked.is_some_and(|at| now.saturating_duration_since(at) < DRAIN_CHECK_INTERVAL) {
             return None;
         }
         self.draining.looked = Some(now);
@@ -47,7 +47,7 @@
         }
         // One block at a look, in turn, beginning with the first.
         let turn = self.draining.turn;
-        let held = &self.role.holdings;
+        let held = &self.role.leased_blocks;
         let block = held.range(turn..).next().or_else(|| held.iter().next()).map(|(b, _)| *b)?;
         self.draining.turn = block + 1;
         let record = self.new_drain(block, now)?;
@@ -75,8 +75,8 @@
     }
 
     fn block_condition(&self, block: u32) -> Option<Condition> {
-        let holding = self.role.holdings.get(&block)?;
-        Some(Condition { key: records::block_key(block), version: holding.version })
+        let block_lease = self.role.leased_blocks.get(&block)?;
+        Some(Condition { key: records::block_key(block), version: block_lease.version })
     }
 
     /// The cap on what a drain fills: the highest share within the window, and
@@ -86,7 +86,7 @@
         let highest = self
             .machines
             .values()
-            .filter(|m| self.role.holdings.get(&m.block).is_some_and(|h| m.open(h.epoch, silence, now)))
+            .filter(|m| self.role.leased_blocks.get(&m.block).is_some_and(|h| m.open(h.epoch, silence, now)))
             .map(|m| m.booked.share_of(&m.capacity))
             .fold(0.0, f64::max);
         let window = self.options.drain_window;
--- a/crates/dapplecroft-controller/src/core/fleet.rs
+++ b/crates/dapplecroft-controller/src/core/fleet.rs
@@ -4,7 +4,7 @@
 use crate::machines::{Fate, Machine};
 use crate::records::{GroupRecord, MemberRecord};
 use dapplecroft_cloud::MAX_RENT;
-use dapplecroft_sched::{Amounts, Need, Rooms, plan_rentals};
+use dapplecroft_sched::{Amounts, Rooms, plan_rentals};
 use dapplecroft_wire::cloud::{ListedMachine, RentRequest};
 use dapplecroft_wire::workers::Report;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -23,22 +23,27 @@
 /// don't bring them back; far longer than either can be late.
 const REMEMBER_GONE: Duration = Duration::from_secs(3600);
 
-/// What is paid for a machine at least.
-const MIN_PAID: Duration = Duration::from_secs(60);
-
-/// Probes on their way at a time: a holder that takes up hundreds of machines
-/// must not ask all at once.
-const MAX_PROBES: usize = 32;
-/// The same for machines that have fallen silent: most will not answer, and what
-/// ran on them waits for that.
-const MAX_SILENT_PROBES: usize = 128;
 /// Silent machines about which the others are asked at a time.
 pub const MAX_CONSULTED: usize = 128;
-/// Most workers of a block that is taken up come by themselves so soon; the
-/// others are asked then.
-const TAKE_UP: Duration = Duration::from_millis(1500);
+/// A kind of machine that the cloud may have or not have at a time.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) struct MachineKind {
+    /// Its type.
+    pub machine_type: String,
+    /// Its zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+}
 
-type Kind = (String, String, bool);
+/// A refusal of a kind of machine.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Refusal {
+    /// It is not asked for again before.
+    pub until: Instant,
+    /// How often in a row nothing at all was to be had.
+    times: u32,
+}
 
 /// What the leader remembers of the cloud.
 #[derive(Debug, Default)]
@@ -46,7 +51,7 @@
     began: Option<Instant>,
     requests: u64,
     renting: BTreeMap<String, (RentRequest, u32)>,
-    pub(super) refused: HashMap<Kind, (Instant, u32)>,
+    pub(super) refused: HashMap<MachineKind, Refusal>,
     /// Machines whose release was answered and that a record still names.
     released: BTreeSet<Arc<str>>,
     /// Machines that report and that no record names.
@@ -119,11 +124,11 @@
     /// What is to be released: what is due in the leader's own blocks, and what
     /// other holders have given up or the cloud says has stopped.
     fn releases(&mut self, due: BTreeSet<Arc<str>>, actions: &mut FleetActions) {
-        let holdings = &self.role.holdings;
+        let leased_blocks = &self.role.leased_blocks;
         for machine in self.machines.values_mut() {
             let wanted = due.contains(&machine.id)
                 || machine.given_up
-                || (machine.fate == Fate::Lost && !holdings.contains_key(&machine.block));
+                || (machine.fate == Fate::Lost && !leased_blocks.contains_key(&machine.block));
             let waits = machine.releasing || machine.group.is_none();
             if wanted && !waits && !self.fleet.released.contains(&machine.id) {
                 machine.releasing = true;
@@ -153,8 +158,8 @@
         let orphans: Vec<Arc<str>> = self
             .machines
             .values()
-            .filter(|m| m.group.is_none() && self.role.holdings.contains_key(&m.block))
-            .filter(|m| self.loads_of(m.block).all(|(_, l)| l.version <= self.followed))
+            .filter(|m| m.group.is_none() && self.role.leased_blocks.contains_key(&m.block))
+            .filter(|m| self.shards_of(m.block).all(|(_, l)| l.version <= self.followed))
             .map(|m| m.id.clone())
             .collect();
         for id in orphans {
@@ -163,125 +168,9 @@
         }
     }
 
-    /// What work waits that may start as far as its team's limit goes, and how
-    /// much: as many idle machines as it needs are not returned, however long
-    /// they have been idle.
-    fn wanted_needs(&self) -> Vec<(Arc<Need>, i64)> {
-        let mut needs: Vec<(Arc<Need>, i64)> = Vec::new();
-        for job in self.waiting.iter().filter_map(|id| self.open_job(id)) {
-            let headroom = self.teams.get(&job.spec.team).map_or(0, |b| b.headroom(&job.need.amounts));
-            let admitted: i64 = job.waiting.values().map(|r| i64::from(r.len())).sum();
-            let count = admitted + i64::from(job.unadmitted.len()).min(headroom);
-            if count == 0 || job.failures > 0 {
-                continue;
-            }
-            match needs.iter_mut().find(|(n, _)| **n == *job.need) {
-                Some((_, total)) => *total += count,
-                None => needs.push((job.need.clone(), count)),
-            }
-        }
-        needs
-    }
-
-    /// Decides the fate of each machine of own blocks, and which are to be
-    /// probed; returns those that are due to be released.
-    fn judge_machines(&mut self, actions: &mut FleetActions, now: Instant) -> BTreeSet<Arc<str>> {
-        let report = self.settings.report_every();
-        let lease = Duration::from_secs_f64(self.settings.params.workers.lease_s * 1.1);
-        let hulls = self.catalog.iter().flat_map(|c| &c.hulls);
-        let boots: BTreeMap<String, Duration> =
-            hulls.map(|h| (h.name.clone(), self.boot_time(&h.name))).collect();
-        let idle = self.idle_times();
-        let replicas = self.replica_machines();
-        let standby = self.standby_machines();
-        let mut wanted = self.wanted_needs();
-        let holdings = &self.role.holdings;
-        let own = |m: &Machine| m.group.is_some() && holdings.contains_key(&m.block);
-        let mut probes = self.machines.values().filter(|m| own(m) && m.probing).count();
-        let mut all_due = BTreeSet::new();
-        for machine in self.machines.values_mut().filter(|m| own(m)) {
-            if machine.tasks.is_empty() && machine.idle_since.is_none() {
-                machine.idle_since = Some(now);
-            }
-            let age = now.saturating_duration_since(machine.since);
-            let silence = machine.heard.map_or(age, |at| now.saturating_duration_since(at));
-            if machine.heard.is_none() && machine.address.is_none() {
-                let boot = boots.get(&machine.machine_type).copied().unwrap_or(report);
-                if machine.fate == Fate::Keep && age > boot * 3 + Duration::from_secs(10) {
-                    tracing::info!(machine = &*machine.id, ?age, "a machine did not come up");
-                    machine.fate = Fate::Lost;
-                }
-            } else {
-                let eager = machine.heard.is_none() && machine.missed_probes == 0 && age > TAKE_UP;
-                // What serves users is missed soonest: it is asked between reports.
-                let serves = replicas.contains(&machine.id);
-                let (patience, limit) = if serves { (0.6, 0.9) } else { (1.4, 1.9) };
-                let ask = eager || silence > report.mul_f64(patience);
-                if let Some(address) = &machine.address
-                    && ask
-                    && !machine.probing
-                    && !machine.releasing
-                    && probes < if machine.heard.is_some() { MAX_SILENT_PROBES } else { MAX_PROBES }
-                {
-                    machine.probing = true;
-                    probes += 1;
-                    actions.probe.push((machine.id.clone(), address.clone()));
-                }
-                // Its reports arrive, but nothing reaches it: its worker has ended
-                // its tasks for want of an answer, and it is of no more use.
-                let deaf = machine.deaf_since.is_some_and(|at| now.saturating_duration_since(at) > lease);
-                if deaf && machine.fate != Fate::Lost {
-                    tracing::info!(
-                        machine = &*machine.id,
-                        "a machine that reports and hears nothing is given up"
-                    );
-                    machine.fate = Fate::Lost;
-                }
-                actions.quiet += usize::from(silence > report.mul_f64(1.9));
-                if silence > report.mul_f64(limit) && machine.missed_probes >= 1 && machine.fate != Fate::Lost
-                {
-                    let address = machine.address.clone().unwrap_or_default();
-                    actions.silent.push((machine.id.clone(), address));
-                }
-            }
-            if machine.fate == Fate::Keep {
-                // Renting it again would cost its boot time, so it is kept a
-                // while, the dearer the shorter; and a machine is paid for a
-                // minute in any case.
-                let kind = (machine.machine_type.clone(), machine.spot);
-                let usual = idle.get(&kind).copied().unwrap_or(report);
-                let keep = self.options.idle_return.unwrap_or(usual).max(MIN_PAID.saturating_sub(age));
-                let idle = machine.idle_since.is_some_and(|at| now.saturating_duration_since(at) > keep);
-                let wanted = idle
-                    && wanted.iter_mut().any(|(need, count)| {
-                        let fits = *count > 0
-                            && need.allows(&machine.machine_type, &machine.zone, machine.spot)
-                            && need.amounts.fits(&machine.capacity);
-                        if fits {
-                            *count -= need.amounts.times_in(&machine.capacity);
-                        }
-                        fits
-                    });
-                let unused = idle && !wanted && !standby.contains(&machine.id);
-                if machine.failed_jobs.len() >= 2 {
-                    tracing::info!(machine = &*machine.id, "tasks of several jobs failed: quarantined");
-                    machine.fate = Fate::Returning;
-                } else if unused && machine.heard.is_some() && machine.taken_at.is_none() {
-                    machine.fate = Fate::Returning;
-                }
-            }
-            let empty = machine.tasks.is_empty();
-            let due = machine.fate == Fate::Lost || (machine.fate == Fate::Returning && empty);
-            if due && !machine.given_up {
-                all_due.insert(machine.id.clone());
-            }
-        }
-        all_due
-    }
-
     /// Gives up on machines that nobody reaches: they are released, and what is
     /// on them runs elsewhere once that is answered.
-    pub fn condemn(&mut self, ids: &[Arc<str>]) {
+    pub fn mark_lost(&mut self, ids: &[Arc<str>]) {
         for id in ids {
             // One that has answered meanwhile is spared.
             if let Some(machine) = self.machines.get_mut(id)
@@ -290,7 +179,7 @@
                 machine.fate = Fate::Lost;
             }
         }
-        self.wakes.fleet = true;
+        self.wakeups.fleet = true;
     }
 
     /// How many machines of own blocks have come up.
@@ -412,24 +301,33 @@
     /// Notes the machines that a request brought; none: there is no capacity.
     pub fn rented(&mut self, request: &RentRequest, machines: &[String], now: Instant) {
         let Some((_, block)) = self.fleet.renting.remove(&request.request) else { return };
-        let kind = (request.machine_type.clone(), request.zone.clone(), request.spot);
-        let pausing = self.fleet.refused.get(&kind).is_some_and(|(until, _)| *until > now);
+        let kind = MachineKind {
+            machine_type: request.machine_type.clone(),
+            zone: request.zone.clone(),
+            spot: request.spot,
+        };
+        let pausing = self.fleet.refused.get(&kind).is_some_and(|refusal| refusal.until > now);
         if machines.len() < request.count as usize && pausing {
             // Asked before an earlier refusal was known, it says nothing new: the
             // pause must not double with each of several requests at a time.
-            tracing::debug!(machine_type = kind.0, spot = kind.2, got = machines.len(), "refused as well");
+            tracing::debug!(
+                machine_type = kind.machine_type,
+                spot = kind.spot,
+                got = machines.len(),
+                "refused as well"
+            );
         } else if machines.len() < request.count as usize {
-            let (_, times) = self.fleet.refused.get(&kind).copied().unwrap_or((now, 0));
+            let times = self.fleet.refused.get(&kind).map_or(0, |refusal| refusal.times);
             let pause = (REFUSED_PAUSE * 2u32.pow(times.min(4))).min(LONGEST_PAUSE);
             tracing::info!(
-                machine_type = kind.0,
-                spot = kind.2,
+                machine_type = kind.machine_type,
+                spot = kind.spot,
                 got = machines.len(),
                 ?pause,
                 "no more capacity"
             );
             let times = if machines.is_empty() { times + 1 } else { 0 };
-            self.fleet.refused.insert(kind, (now + pause, times));
+            self.fleet.refused.insert(kind, Refusal { until: now + pause, times });
         } else {
             self.fleet.refused.remove(&kind);
         }
@@ -443,7 +341,7 @@
             let record = GroupRecord { block, machine_type, zone, spot: request.spot, machines };
             self.new_group(&request.request, record);
         }
-        self.wakes.fleet = true;
+        self.wakeups.fleet = true;
     }
 
     /// Notes that a request will not be carried out by this process any more.
@@ -460,7 +358,7 @@
         machine.spot = report.spot;
         machine.address = Some(report.address.clone());
         self.fleet.found.insert(id, machine);
-        self.wakes.fleet = true;
+        self.wakeups.fleet = true;
     }
 
     /// Takes over a list of machines; it lags, and may be older than the last.
@@ -479,7 +377,7 @@
                 Some(machine) if listed.state == "failed" && machine.fate != Fate::Lost => {
                     tracing::info!(machine = &*machine.id, "a machine stopped on its own");
                     machine.fate = Fate::Lost;
-                    self.wakes.fleet = true;
+                    self.wakeups.fleet = true;
                 }
                 Some(_) => {}
                 None if settled => {
@@ -502,7 +400,7 @@
             self.fleet.released.insert(id.clone());
             self.machine_gone(id, now);
         }
-        self.wakes.fleet = true;
+        self.wakeups.fleet = true;
     }
 
     /// Notes that a release was not carried out; it is tried again.
--- a/crates/dapplecroft-controller/src/core/groups.rs
+++ b/crates/dapplecroft-controller/src/core/groups.rs
@@ -4,7 +4,6 @@
 
 use super::layout::to_value;
 use super::{Core, Group, reindex};
-use crate::legacy;
 use crate::machines::Machine;
 use crate::records::{self, GroupRecord, MemberRecord, stored_size};
 use dapplecroft_state::Unit;
@@ -30,6 +29,50 @@
     pub unit: Unit,
 }
 
+/// In which order groups' records are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum GroupOrder {
+    /// Machines of it were released.
+    Released,
+    /// It is not recorded yet.
+    New,
+    /// Its holder has given machines up.
+    GivenUp,
+    /// It has to move into smaller ones.
+    Outgrown,
+    /// Addresses of its machines are known and not recorded.
+    Addresses,
+}
+
+/// What becomes of a group's record.
+enum GroupWrite {
+    /// It is written or dropped.
+    Unit(Unit),
+    /// Nothing was ever recorded of it, and nothing needs to be.
+    Forget,
+    /// Another process has to write it.
+    NotAllowed,
+}
+
+/// Takes as many newly given up machines out of a record as it takes to fit a
+/// value of `limit` bytes; they are given up later.
+fn limit_given_up(record: &mut GroupRecord, old: &GroupRecord, limit: usize) {
+    let fresh: Vec<String> = record
+        .machines
+        .iter()
+        .filter(|(id, member)| member.given_up && !old.machines.get(*id).is_some_and(|m| m.given_up))
+        .map(|(id, _)| id.clone())
+        .collect();
+    for id in fresh.iter().rev() {
+        if stored_size(&to_value(record)) <= limit {
+            break;
+        }
+        if let Some(member) = record.machines.get_mut(id) {
+            member.given_up = false;
+        }
+    }
+}
+
 impl Core {
     /// Begins a group of machines that this leader rented or takes in, or as
     /// many as their records need to fit a value each.
@@ -37,10 +80,10 @@
         let records = if self.is_mixed() { vec![record] } else { record.split(self.limits().value) };
         for (n, record) in records.into_iter().enumerate() {
             let name = if n == 0 { name.to_string() } else { format!("{name}.{n}") };
-            let group = Group { record, version: 0, writing: false, behind: false };
+            let group = Group { record, version: 0, writing: false, addresses_unrecorded: false };
             self.groups.insert(name.into(), group);
         }
-        self.wakes.fleet = true;
+        self.wakeups.fleet = true;
     }
 
     /// Whether a group's record is too large to be written again, or some of
@@ -152,25 +195,60 @@
         let mut units = Vec::new();
         let mut addresses =
             self.fleet.addresses_at.is_none_or(|at| now.saturating_duration_since(at) >= ADDRESSES_EVERY);
-        let leadership = self.role.leadership;
-        let touched: BTreeSet<Arc<str>> = give_up
-            .iter()
-            .chain(released)
-            .filter_map(|id| self.machines.get(id).and_then(|m| m.group.clone()))
-            .collect();
-        let released_of: BTreeSet<Arc<str>> =
-            released.iter().filter_map(|id| self.machines.get(id).and_then(|m| m.group.clone())).collect();
+        self.split_large_groups();
+        let released_groups = self.groups_of(released);
+        let given_up_groups = self.groups_of(give_up);
+        let touched = |name: &str| released_groups.contains(name) || given_up_groups.contains(name);
         // A wave of lost machines touches nearly all groups, again and again.
         // Few are written at a time, or admissions and placements would wait
         // behind them until the wave is over.
         let most = (self.limits().changes / 2).max(2);
-        let mut left = most.saturating_sub(self.groups_on_way());
-        // One that was decided on before the layout was switched may be too large.
+        let left = most.saturating_sub(self.groups_on_way());
+        for name in self.group_order(&released_groups, &given_up_groups, addresses) {
+            if units.len() >= left {
+                break;
+            }
+            let Some(group) = self.groups.get(&name) else { continue };
+            if self.is_outgrown(&name, group) {
+                let unit = self.move_unit(&name, group);
+                units.extend(unit.map(|unit| self.begin_group_write(&name, unit)));
+                continue;
+            }
+            if !addresses && group.version > 0 && !touched(&name) {
+                continue;
+            }
+            let record = self.updated_group(group, give_up, released);
+            let unchanged = record == group.record && group.version > 0;
+            let held = self.is_holder(group.record.block);
+            if !unchanged && group.addresses_unrecorded && held {
+                addresses = false;
+                self.fleet.addresses_at = Some(now);
+            }
+            let Some(group) = self.groups.get_mut(&name) else { continue };
+            group.addresses_unrecorded &= !(unchanged || held);
+            if unchanged {
+                continue;
+            }
+            match self.group_write(&name, &record) {
+                GroupWrite::Unit(unit) => units.push(self.begin_group_write(&name, unit)),
+                GroupWrite::Forget => {
+                    self.groups.remove(&name);
+                }
+                GroupWrite::NotAllowed => {}
+            }
+        }
+        units
+    }
+
+    /// Splits groups that are not committed and too large for a record: they were
+    /// decided on before the layout was switched.
+    fn split_large_groups(&mut self) {
+        let limit = self.limits().value;
         let large: Vec<Arc<str>> = self
             .groups
             .iter()
             .filter(|(_, g)| !self.is_mixed() && g.version == 0 && !g.writing)
-            .filter(|(_, g)| g.record.most_bytes() > self.limits().value && g.record.machines.len() > 1)
+            .filter(|(_, g)| g.record.most_bytes() > limit && g.record.machines.len() > 1)
             .map(|(name, _)| name.clone())
             .collect();
         for name in large {
@@ -178,117 +256,92 @@
                 self.new_group(&name, group.record);
             }
         }
-        let mut order: Vec<(u8, Arc<str>)> = self
-            .groups
-            .iter()
-            .filter(|(_, g)| !g.writing)
-            .filter_map(|(name, g)| match () {
-                // What ran on released machines waits for it elsewhere.
-                () if released_of.contains(name) => Some((0, name.clone())),
-                () if g.version == 0 => Some((1, name.clone())),
-                () if touched.contains(name) => Some((2, name.clone())),
-                () if leadership.is_some() && self.is_outgrown(name, g) => Some((3, name.clone())),
-                () if addresses && g.behind => Some((4, name.clone())),
-                () => None,
-            })
-            .collect();
-        order.sort();
-        let mut emptied = Vec::new();
-        for (_, name) in &order {
-            if left == 0 {
-                break;
-            }
-            if let Some(group) = self.groups.get(name)
-                && self.is_outgrown(name, group)
-            {
-                let Some(unit) = self.move_unit(name, group) else { continue };
-                if let Some(group) = self.groups.get_mut(name) {
-                    group.writing = true;
-                }
-                left -= 1;
-                units.push(GroupUnit { name: name.clone(), unit });
-                continue;
-            }
-            let (mixed, limit) = (self.is_mixed(), self.limits().value);
-            let Some(group) = self.groups.get_mut(name) else { continue };
-            if !addresses && group.version > 0 && !touched.contains(name) {
-                continue;
-            }
-            let holding = self.role.holdings.get(&group.record.block);
-            let mut conditions = vec![Condition { key: records::group_key(name), version: group.version }];
-            let mut record = group.record.clone();
-            if holding.is_some() {
-                for (id, member) in &mut record.machines {
-                    member.given_up |= give_up.contains(id.as_str());
-                    let known = self.machines.get(id.as_str()).and_then(|m| m.address.as_ref());
-                    if member.address.is_none() || known.is_some() {
-                        member.address = known.cloned();
-                    }
-                }
-            }
-            if leadership.is_some() {
-                record.machines.retain(|id, _| !released.contains(id.as_str()));
-            }
-            if !mixed {
-                // As many are given up at a time as the record has room for.
-                let fresh: Vec<String> = record
-                    .machines
-                    .iter()
-                    .filter(|(id, m)| {
-                        m.given_up && !group.record.machines.get(*id).is_some_and(|o| o.given_up)
-                    })
-                    .map(|(id, _)| id.clone())
-                    .collect();
-                for id in fresh.iter().rev() {
-                    if stored_size(&to_value(&record)) <= limit {
-                        break;
-                    }
-                    if let Some(member) = record.machines.get_mut(id) {
-                        member.given_up = false;
-                    }
+    }
+
+    /// The groups that have these machines.
+    fn groups_of(&self, machines: &BTreeSet<Arc<str>>) -> BTreeSet<Arc<str>> {
+        machines.iter().filter_map(|id| self.machines.get(id)?.group.clone()).collect()
+    }
+
+    /// Groups whose records may have to be written, the most important first.
+    fn group_order(
+        &self,
+        released: &BTreeSet<Arc<str>>,
+        given_up: &BTreeSet<Arc<str>>,
+        addresses: bool,
+    ) -> Vec<Arc<str>> {
+        let leads = self.role.leadership.is_some();
+        let order = |name: &Arc<str>, group: &Group| match () {
+            () if group.writing => None,
+            // What ran on released machines waits for it elsewhere.
+            () if released.contains(name) => Some(GroupOrder::Released),
+            () if group.version == 0 => Some(GroupOrder::New),
+            () if given_up.contains(name) => Some(GroupOrder::GivenUp),
+            () if leads && self.is_outgrown(name, group) => Some(GroupOrder::Outgrown),
+            () if addresses && group.addresses_unrecorded => Some(GroupOrder::Addresses),
+            () => None,
+        };
+        let mut names: Vec<(GroupOrder, &Arc<str>)> =
+            self.groups.iter().filter_map(|(name, group)| Some((order(name, group)?, name))).collect();
+        names.sort();
+        names.into_iter().map(|(_, name)| name.clone()).collect()
+    }
+
+    /// A group's record as this process would write it.
+    fn updated_group(
+        &self,
+        group: &Group,
+        give_up: &BTreeSet<Arc<str>>,
+        released: &BTreeSet<Arc<str>>,
+    ) -> GroupRecord {
+        let mut record = group.record.clone();
+        if self.is_holder(record.block) {
+            for (id, member) in &mut record.machines {
+                member.given_up |= give_up.contains(id.as_str());
+                let known = self.machines.get(id.as_str()).and_then(|m| m.address.as_ref());
+                if member.address.is_none() || known.is_some() {
+                    member.address = known.cloned();
                 }
             }
-            if record == group.record && group.version > 0 {
-                group.behind = false;
-                continue;
-            }
-            if group.behind && holding.is_some() {
-                addresses = false;
-                self.fleet.addresses_at = Some(now);
-                group.behind = false;
-            }
-            let by_leader = group.version == 0 || record.machines.len() < group.record.machines.len();
-            if by_leader {
-                let Some(version) = leadership else {
-                    if group.version == 0 {
-                        emptied.push(name.clone());
-                    }
-                    continue;
-                };
-                conditions.push(Condition { key: records::LEADER.into(), version });
-            } else if let Some(holding) = holding {
-                let key = records::block_key(group.record.block);
-                conditions.push(Condition { key, version: holding.version });
+        }
+        if self.role.leadership.is_some() {
+            record.machines.retain(|id, _| !released.contains(id.as_str()));
+        }
+        if !self.is_mixed() {
+            limit_given_up(&mut record, &group.record, self.limits().value);
+        }
+        record
+    }
+
+    /// How a group's record is written, if this process may.
+    fn group_write(&self, name: &str, record: &GroupRecord) -> GroupWrite {
+        let Some(group) = self.groups.get(name) else { return GroupWrite::NotAllowed };
+        let key = records::group_key(name);
+        let mut conditions = vec![Condition { key: key.clone(), version: group.version }];
+        let by_leader = group.version == 0 || record.machines.len() < group.record.machines.len();
+        if by_leader {
+            match self.role.leadership {
+                Some(version) => conditions.push(Condition { key: records::LEADER.into(), version }),
+                None if group.version == 0 => return GroupWrite::Forget,
+                None => return GroupWrite::NotAllowed,
             }
-            let key = records::group_key(name);
-            let change = if record.machines.is_empty() {
-                if group.version == 0 {
-                    emptied.push(name.clone());
-                    continue;
-                }
-                Change::Drop { key }
-            } else {
-                let value = if mixed { legacy::write_group(&record) } else { to_value(&record) };
-                Change::Set { key, value, lease: None }
-            };
-            group.writing = true;
-            left -= 1;
-            units.push(GroupUnit { name: name.clone(), unit: Unit { conditions, changes: vec![change] } });
+        } else if let Some(lease) = self.role.leased_blocks.get(&group.record.block) {
+            let key = records::block_key(group.record.block);
+            conditions.push(Condition { key, version: lease.version });
         }
-        for name in emptied {
-            self.groups.remove(&name);
+        let change = match record.machines.is_empty() {
+            true if group.version == 0 => return GroupWrite::Forget,
+            true => Change::Drop { key },
+            false => Change::Set { key, value: self.group_value(record), lease: None },
+        };
+        GroupWrite::Unit(Unit { conditions, changes: vec![change] })
+    }
+
+    fn begin_group_write(&mut self, name: &Arc<str>, unit: Unit) -> GroupUnit {
+        if let Some(group) = self.groups.get_mut(name) {
+            group.writing = true;
         }
-        units
+        GroupUnit { name: name.clone(), unit }
     }
 
     /// How many records of groups are about to be committed.
@@ -300,9 +353,9 @@
     pub fn group_written(&mut self, name: &str) {
         if let Some(group) = self.groups.get_mut(name) {
             group.writing = false;
-            group.behind = true;
+            group.addresses_unrecorded = true;
         }
-        self.wakes.fleet = true;
+        self.wakeups.fleet = true;
     }
 
     /// Takes in machines that no record names, as leader.
@@ -343,7 +396,7 @@
             self.departed.extend(left.map(|id| (version, id.as_str().into(), name.clone())));
         }
         if let Some(record) = record {
-            let mut behind = false;
+            let mut addresses_unrecorded = false;
             for (id, member) in &record.machines {
                 let id: Arc<str> = id.as_str().into();
                 let machine =
@@ -364,17 +417,17 @@
                 machine.given_up = member.given_up;
                 match (&machine.address, &member.address) {
                     (None, Some(address)) => machine.address = Some(address.clone()),
-                    (Some(_), None) => behind = true,
+                    (Some(_), None) => addresses_unrecorded = true,
                     _ => {}
                 }
             }
             let writing = old.is_some_and(|g| g.writing);
-            self.groups.insert(name.clone(), Group { record, version, writing, behind });
+            self.groups.insert(name.clone(), Group { record, version, writing, addresses_unrecorded });
             self.size_machines();
         }
         self.settle_departed(now);
-        self.wakes.place = true;
-        self.wakes.fleet = true;
+        self.wakeups.place = true;
+        self.wakeups.fleet = true;
     }
 
     /// Forgets a released machine once no placement names it.
@@ -383,7 +436,7 @@
         machine.group = None;
         if machine.tasks.is_empty() {
             let (room, block, id) = (machine.room().cpus, machine.block, machine.id.clone());
-            if let Some(block) = self.roomy.get_mut(&block) {
+            if let Some(block) = self.machines_by_free_cpus.get_mut(&block) {
                 block.remove(&(room, id.clone()));
             }
             self.machines.swap_remove(&id);
@@ -394,7 +447,7 @@
     pub(super) fn size_machines(&mut self) {
         let Some(catalog) = &self.catalog else { return };
         let sizes: BTreeMap<&str, _> = catalog
-            .hulls
+            .machine_types
             .iter()
             .map(|h| (h.name.as_str(), dapplecroft_sched::Amounts::new(h.cpus, h.gpus, h.memory_gb)))
             .collect();
@@ -403,7 +456,7 @@
             if machine.capacity != *size {
                 let before = machine.room().cpus;
                 machine.capacity = *size;
-                reindex(&mut self.roomy, machine, before);
+                reindex(&mut self.machines_by_free_cpus, machine, before);
             }
         }
     }
--- a/crates/dapplecroft-controller/src/core/layout.rs
+++ b/crates/dapplecroft-controller/src/core/layout.rs
@@ -8,7 +8,7 @@
 
 use super::Core;
 use crate::legacy;
-use crate::records::{self, GroupRecord, JobRecord, LAYOUT, LayoutRecord, LoadRecord, PartId};
+use crate::records::{self, GroupRecord, JobRecord, LAYOUT, LayoutRecord, ShardId, ShardRecord};
 use dapplecroft_wire::settings::SizeLimits;
 use dapplecroft_wire::state::{Change, Condition, Transaction};
 use serde::Serialize;
@@ -38,8 +38,8 @@
     }
 
     /// A record of what runs as it is written now.
-    pub(super) fn load_value(&self, id: PartId, record: &LoadRecord) -> Value {
-        if id.part.is_none() { legacy::write_load(record) } else { to_value(record) }
+    pub(super) fn shard_value(&self, id: ShardId, record: &ShardRecord) -> Value {
+        if id.shard.is_none() { legacy::write_shard(record) } else { to_value(record) }
     }
 
     /// A group of machines as it is written now.
@@ -52,7 +52,7 @@
         if layout > LAYOUT {
             // Nothing that this process would do now could be right.
             self.ended = Some(format!("the records have layout {layout}, this program knows {LAYOUT}"));
-            self.wakes.end = true;
+            self.wakeups.end = true;
             return;
         }
         if layout <= self.format {
@@ -60,11 +60,11 @@
         }
         self.format = layout;
         tracing::info!(layout, "all members know the new layout of the records: it is in force");
-        let held: Vec<u32> = self.role.holdings.keys().copied().collect();
-        held.into_iter().for_each(|block| self.plan_move(block, now));
-        self.wakes.role = true;
-        self.wakes.flush = true;
-        self.wakes.fleet = true;
+        let held: Vec<u32> = self.role.leased_blocks.keys().copied().collect();
+        held.into_iter().for_each(|block| self.plan_migration(block, now));
+        self.wakeups.role = true;
+        self.wakeups.flush = true;
+        self.wakeups.fleet = true;
     }
 
     /// The transaction by which this process leaves its mark, if it is missing.
--- /dev/null
+++ b/crates/dapplecroft-controller/src/core/machine_fate.rs
@@ -0,0 +1,217 @@
+//! The fate of machines in own blocks: which are probed, which are given up, and
+//! which are returned because nothing needs them.
+
+use super::{Core, FleetActions};
+use crate::machines::{Fate, Machine};
+use dapplecroft_sched::Need;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// What is paid for a machine at least.
+const MIN_PAID: Duration = Duration::from_secs(60);
+
+/// Probes on their way at a time: a holder that takes up hundreds of machines
+/// must not ask all at once.
+const MAX_PROBES: usize = 32;
+/// The same for machines that have fallen silent: most will not answer, and what
+/// ran on them waits for that.
+const MAX_SILENT_PROBES: usize = 128;
+/// Most workers of a block that is taken up come by themselves so soon; the
+/// others are asked then.
+const TAKE_UP: Duration = Duration::from_millis(1500);
+
+/// A machine is taken not to come up after so many usual boot times and a margin.
+const BOOT_FACTOR: u32 = 3;
+const BOOT_MARGIN: Duration = Duration::from_secs(10);
+/// A worker that has been silent for so many report intervals is probed.
+const PROBE_AFTER: f64 = 1.4;
+/// One that has been silent for so many, and has not answered a probe, is silent.
+const SILENT_AFTER: f64 = 1.9;
+/// The same where replicas run. What serves users is missed soonest: it is asked
+/// between reports.
+const REPLICA_PROBE_AFTER: f64 = 0.6;
+const REPLICA_SILENT_AFTER: f64 = 0.9;
+/// Margin on the lease of a worker that hears nothing.
+const LEASE_MARGIN: f64 = 1.1;
+/// A machine takes no more work once tasks of so many jobs failed on it alone.
+const MOST_FAILED_JOBS: usize = 2;
+
+/// Idle machines of which work waits: what each task needs, and how many tasks.
+type WantedNeeds = Vec<(Arc<Need>, i64)>;
+
+/// What the fates of all machines are decided by.
+struct FateRules {
+    now: Instant,
+    report_every: Duration,
+    lease: Duration,
+    boot_times: BTreeMap<String, Duration>,
+    idle_times: BTreeMap<(String, bool), Duration>,
+    idle_return: Option<Duration>,
+    with_replicas: BTreeSet<Arc<str>>,
+    standby: BTreeSet<Arc<str>>,
+}
+
+impl FateRules {
+    fn age(&self, machine: &Machine) -> Duration {
+        self.now.saturating_duration_since(machine.since)
+    }
+
+    fn silence(&self, machine: &Machine) -> Duration {
+        machine.heard.map_or(self.age(machine), |at| self.now.saturating_duration_since(at))
+    }
+
+    /// Gives up a machine that has not come up for much longer than usual.
+    fn judge_boot(&self, machine: &mut Machine) {
+        let boot = self.boot_times.get(&machine.machine_type).copied().unwrap_or(self.report_every);
+        let age = self.age(machine);
+        if machine.fate == Fate::Keep && age > boot * BOOT_FACTOR + BOOT_MARGIN {
+            tracing::info!(machine = &*machine.id, ?age, "a machine did not come up");
+            machine.fate = Fate::Lost;
+        }
+    }
+
+    /// Whether a machine is to be asked for its status now.
+    fn wants_probe(&self, machine: &Machine) -> bool {
+        let taken_up = machine.heard.is_none() && machine.missed_probes == 0 && self.age(machine) > TAKE_UP;
+        let patience =
+            if self.with_replicas.contains(&machine.id) { REPLICA_PROBE_AFTER } else { PROBE_AFTER };
+        let overdue = self.silence(machine) > self.report_every.mul_f64(patience);
+        (taken_up || overdue) && !machine.probing && !machine.releasing
+    }
+
+    /// Gives up a machine whose reports arrive and which nothing reaches: its
+    /// worker has ended its tasks for want of an answer, and it is of no more use.
+    fn judge_deaf(&self, machine: &mut Machine) {
+        let deaf = machine.deaf_since.is_some_and(|at| self.now.saturating_duration_since(at) > self.lease);
+        if deaf && machine.fate != Fate::Lost {
+            tracing::info!(machine = &*machine.id, "a machine that reports and hears nothing is given up");
+            machine.fate = Fate::Lost;
+        }
+    }
+
+    /// Whether others are to be asked about a machine.
+    fn is_silent(&self, machine: &Machine) -> bool {
+        let limit =
+            if self.with_replicas.contains(&machine.id) { REPLICA_SILENT_AFTER } else { SILENT_AFTER };
+        let overdue = self.silence(machine) > self.report_every.mul_f64(limit);
+        overdue && machine.missed_probes >= 1 && machine.fate != Fate::Lost
+    }
+
+    /// Decides whether a machine is returned: tasks of several jobs failed on it,
+    /// or nothing has needed it for long. Renting it again would cost its boot
+    /// time, so it is kept a while, the dearer the shorter; and a machine is paid
+    /// for a minute in any case.
+    fn judge_use(&self, machine: &mut Machine, wanted: &mut WantedNeeds) {
+        if machine.fate != Fate::Keep {
+            return;
+        }
+        let kind = (machine.machine_type.clone(), machine.spot);
+        let usual = self.idle_times.get(&kind).copied().unwrap_or(self.report_every);
+        let paid = MIN_PAID.saturating_sub(self.age(machine));
+        let keep = self.idle_return.unwrap_or(usual).max(paid);
+        let idle = machine.idle_since.is_some_and(|at| self.now.saturating_duration_since(at) > keep);
+        let unused = idle && !take_wanted(machine, wanted) && !self.standby.contains(&machine.id);
+        if machine.failed_jobs.len() >= MOST_FAILED_JOBS {
+            tracing::info!(machine = &*machine.id, "tasks of several jobs failed: quarantined");
+            machine.fate = Fate::Returning;
+        } else if unused && machine.heard.is_some() && machine.taken_at.is_none() {
+            machine.fate = Fate::Returning;
+        }
+    }
+}
+
+/// Whether work waits that an idle machine would do for; what it takes of that
+/// keeps no other machine.
+fn take_wanted(machine: &Machine, wanted: &mut WantedNeeds) -> bool {
+    let found = wanted.iter_mut().find(|(need, count)| {
+        *count > 0
+            && need.allows(&machine.machine_type, &machine.zone, machine.spot)
+            && need.amounts.fits(&machine.capacity)
+    });
+    let Some((need, count)) = found else { return false };
+    *count -= need.amounts.times_in(&machine.capacity);
+    true
+}
+
+impl Core {
+    /// Decides the fate of each machine of own blocks, and which are to be
+    /// probed; returns those that are due to be released.
+    pub(super) fn judge_machines(&mut self, actions: &mut FleetActions, now: Instant) -> BTreeSet<Arc<str>> {
+        let rules = self.fate_rules(now);
+        let mut wanted = self.wanted_needs();
+        let leased = &self.role.leased_blocks;
+        let own = |m: &Machine| m.group.is_some() && leased.contains_key(&m.block);
+        let mut probes = self.machines.values().filter(|m| own(m) && m.probing).count();
+        let mut due = BTreeSet::new();
+        for machine in self.machines.values_mut().filter(|m| own(m)) {
+            if machine.tasks.is_empty() && machine.idle_since.is_none() {
+                machine.idle_since = Some(now);
+            }
+            if machine.heard.is_none() && machine.address.is_none() {
+                rules.judge_boot(machine);
+            } else {
+                judge_contact(&rules, machine, actions, &mut probes);
+            }
+            rules.judge_use(machine, &mut wanted);
+            let empty = machine.tasks.is_empty();
+            let over = machine.fate == Fate::Lost || (machine.fate == Fate::Returning && empty);
+            if over && !machine.given_up {
+                due.insert(machine.id.clone());
+            }
+        }
+        due
+    }
+
+    fn fate_rules(&self, now: Instant) -> FateRules {
+        let machine_types = self.catalog.iter().flat_map(|catalog| &catalog.machine_types);
+        FateRules {
+            now,
+            report_every: self.settings.report_every(),
+            lease: Duration::from_secs_f64(self.settings.params.workers.lease_s * LEASE_MARGIN),
+            boot_times: machine_types.map(|m| (m.name.clone(), self.boot_time(&m.name))).collect(),
+            idle_times: self.idle_times(),
+            idle_return: self.options.idle_return,
+            with_replicas: self.replica_machines(),
+            standby: self.standby_machines(),
+        }
+    }
+
+    /// What work waits that may start as far as its team's limit goes, and how
+    /// much: as many idle machines as it needs are not returned, however long
+    /// they have been idle.
+    fn wanted_needs(&self) -> WantedNeeds {
+        let mut needs: WantedNeeds = Vec::new();
+        for job in self.waiting.iter().filter_map(|id| self.open_job(id)) {
+            let headroom = self.teams.get(&job.spec.team).map_or(0, |b| b.headroom(&job.need.amounts));
+            let admitted: i64 = job.waiting.values().map(|r| i64::from(r.len())).sum();
+            let count = admitted + i64::from(job.unadmitted.len()).min(headroom);
+            if count == 0 || job.failures > 0 {
+                continue;
+            }
+            match needs.iter_mut().find(|(need, _)| **need == *job.need) {
+                Some((_, total)) => *total += count,
+                None => needs.push((job.need.clone(), count)),
+            }
+        }
+        needs
+    }
+}
+
+/// Decides what is asked of and about a machine that has come up.
+fn judge_contact(rules: &FateRules, machine: &mut Machine, actions: &mut FleetActions, probes: &mut usize) {
+    let most_probes = if machine.heard.is_some() { MAX_SILENT_PROBES } else { MAX_PROBES };
+    if let Some(address) = &machine.address
+        && rules.wants_probe(machine)
+        && *probes < most_probes
+    {
+        actions.probe.push((machine.id.clone(), address.clone()));
+        machine.probing = true;
+        *probes += 1;
+    }
+    rules.judge_deaf(machine);
+    actions.quiet += usize::from(rules.silence(machine) > rules.report_every.mul_f64(SILENT_AFTER));
+    if rules.is_silent(machine) {
+        actions.silent.push((machine.id.clone(), machine.address.clone().unwrap_or_default()));
+    }
+}
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -5,39 +5,44 @@
 mod admission;
 mod blocks;
 mod commit;
+mod commit_priority;
+mod commit_queue;
 mod copy;
 mod displace;
 mod drain;
 mod fleet;
 mod groups;
 mod layout;
-mod loads;
-mod moving;
+mod machine_fate;
+mod migration;
 mod offers;
-mod parts;
 mod placing;
 mod roles;
 mod session;
+mod shard_sync;
+mod shards;
+#[cfg(test)]
+mod testing;
 mod units;
-mod worth;
 
-pub use blocks::{Holding, Lease};
+pub use blocks::{BlockLease, LeaseGrant};
 pub use commit::{Subject, UnitEnd, WorkUnit};
 pub use fleet::{FleetActions, MAX_CONSULTED};
 pub use groups::GroupUnit;
-pub use session::{CommandEnd, HelloAnswer};
+pub use session::{CommandEnd, ReportAnswer};
 
 use crate::jobs::{Job, OpenJob, Placed, TaskId};
 use crate::machines::Machine;
 use crate::options::Options;
 use crate::ranges::Ranges;
-use crate::records::{BlockRecord, DrainRecord, GroupRecord, LeaderRecord, LiveRecord, LoadRecord, PartId};
+use crate::records::{BlockRecord, DrainRecord, GroupRecord, LeaderRecord, LiveRecord, ShardId, ShardRecord};
+use commit_queue::CommitQueue;
 use dapplecroft_sched::{Amounts, Demand, Teams};
 use dapplecroft_wire::cloud::Catalog;
 use dapplecroft_wire::settings::Settings;
 use foldhash::fast::RandomState;
 use indexmap::IndexMap;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -49,7 +54,7 @@
     /// Version of the leader's key, if this process wrote it.
     pub leadership: Option<u64>,
     /// The blocks that this process holds.
-    pub holdings: BTreeMap<u32, Holding>,
+    pub leased_blocks: BTreeMap<u32, BlockLease>,
     /// When a request was sent that confirmed its role, once the copy of the
     /// records had caught up with that confirmation.
     pub contact: Option<Instant>,
@@ -63,7 +68,7 @@
 
 /// What loops have to be woken for.
 #[derive(Debug, Default)]
-pub struct Wakes {
+pub struct Wakeups {
     /// Something may be placed now.
     pub place: bool,
     /// Jobs have changes to commit.
@@ -88,7 +93,7 @@
     /// Whether a write of it is on its way.
     pub writing: bool,
     /// Whether a member's address is known and not in the record.
-    pub behind: bool,
+    pub addresses_unrecorded: bool,
 }
 
 /// How things stand on a node.
@@ -111,7 +116,7 @@
     /// Tasks that no block has.
     pub unadmitted: u32,
     /// Records of what runs in its blocks, and their bytes.
-    pub parts: usize,
+    pub shards: usize,
     /// How many bytes they take together.
     pub bytes: usize,
     /// Processors that are free on machines that take work, in percent.
@@ -120,56 +125,11 @@
     pub layout: u32,
 }
 
-/// What has something to commit, first come first served.
-#[derive(Debug, Default)]
-struct Queue {
-    order: VecDeque<Subject>,
-    members: HashSet<Subject>,
-}
-
-impl Queue {
-    fn push(&mut self, subject: Subject) {
-        if self.members.insert(subject.clone()) {
-            self.order.push_back(subject);
-        }
-    }
-
-    fn len(&self) -> usize {
-        self.order.len()
-    }
-
-    /// The position and score of the one with the highest score, of equal ones the
-    /// first; none whose score is below 0.
-    fn best(&self, score: impl Fn(&Subject) -> f64) -> Option<(usize, f64)> {
-        let mut best: Option<(usize, f64)> = None;
-        for (n, subject) in self.order.iter().enumerate() {
-            let own = score(subject);
-            if own >= 0.0 && best.is_none_or(|(_, most)| own > most) {
-                best = Some((n, own));
-            }
-        }
-        best
-    }
-
-    /// Takes the one at a position.
-    fn take(&mut self, position: usize) -> Option<Subject> {
-        let subject = self.order.remove(position)?;
-        self.members.remove(&subject);
-        Some(subject)
-    }
-
-    fn pop(&mut self) -> Option<Subject> {
-        let subject = self.order.pop_front()?;
-        self.members.remove(&subject);
-        Some(subject)
-    }
-}
-
 /// What runs in a block, as recorded.
 #[derive(Debug, Clone, Default)]
-pub struct Load {
+pub struct Shard {
     /// The record.
-    pub record: LoadRecord,
+    pub record: ShardRecord,
     /// Its version.
     pub version: u64,
     /// How many bytes it takes.
@@ -178,10 +138,10 @@
     pub weight: usize,
 }
 
-impl Load {
-    /// Whether it says nothing: another part has taken in what it had.
+impl Shard {
+    /// Whether it says nothing: another shard has taken in what it had.
     fn is_empty(&self) -> bool {
-        self.record == LoadRecord::default()
+        self.record == ShardRecord::default()
     }
 }
 
@@ -213,25 +173,8 @@
     pub open: BTreeSet<Arc<str>>,
     /// Jobs that have waiting tasks.
     pub waiting: BTreeSet<Arc<str>>,
-    /// What ends jobs.
-    first: Queue,
-    /// Jobs with admissions, and blocks with placements, of urgent work.
-    soon: Queue,
-    /// Those of other work.
-    dirty: Queue,
-    /// When something of a job or block was last sent to be committed.
-    sent_at: HashMap<Subject, Instant>,
-    /// Blocks with nothing but ends of tasks to commit, since when.
-    lazy: VecDeque<(Instant, PartId)>,
-    /// What each part has waiting to be committed, as of when.
-    worth: (Option<Instant>, HashMap<PartId, f64>),
-    /// Units on their way, by number.
-    on_way: HashMap<Subject, u64>,
-    /// What has more to commit once its unit has ended.
-    again: HashSet<Subject>,
-    /// What waits for the end of another's unit.
-    behind: HashMap<Subject, HashSet<Subject>>,
-    units: u64,
+    /// What waits to be committed.
+    commits: CommitQueue,
     /// Jobs that were withdrawn, or of which something was taken back, and about
     /// which something earlier may not be known yet.
     unsettled: BTreeSet<Arc<str>>,
@@ -239,27 +182,27 @@
     pub machines: IndexMap<Arc<str>, Machine, RandomState>,
     /// Machines of each block by what is free of their processors, so that a
     /// task looks only at those where it may fit.
-    roomy: BTreeMap<u32, BTreeSet<(i64, Arc<str>)>>,
+    machines_by_free_cpus: BTreeMap<u32, BTreeSet<(i64, Arc<str>)>>,
     /// Room that other holders have told of.
-    hints: BTreeMap<PartId, admission::Hint>,
+    hints: BTreeMap<ShardId, admission::Hint>,
     /// What runs in each block, by its records.
-    pub loads: BTreeMap<PartId, Load>,
-    /// What proposals add to the weight of parts.
-    pending: BTreeMap<PartId, usize>,
-    /// Parts that others are about to take in.
-    absorbing: BTreeSet<PartId>,
+    pub shards: BTreeMap<ShardId, Shard>,
+    /// What proposals add to the weight of shards.
+    pending: BTreeMap<ShardId, usize>,
+    /// Shards that others are about to take in.
+    absorbing: BTreeSet<ShardId>,
     /// What was proposed last, and where.
-    weighed: Option<(PartId, TaskId)>,
-    /// What parts take over from records of the first layout.
-    inherited: BTreeMap<PartId, moving::Inherited>,
+    weighed: Option<(ShardId, TaskId)>,
+    /// What shards take over from records of the first layout.
+    inherited: BTreeMap<ShardId, migration::Inherited>,
     /// Completed tasks in records of their own, by job.
-    folds: HashMap<Arc<str>, BTreeMap<u32, Ranges>>,
+    completed_records: HashMap<Arc<str>, BTreeMap<u32, Ranges>>,
     /// Keys that say nothing any more.
-    litter: BTreeSet<String>,
+    obsolete_keys: BTreeSet<String>,
     /// Machines that left a group's record, at which revision.
     departed: Vec<(u64, Arc<str>, Arc<str>)>,
-    /// Parts of the machine types: of how many, and which.
-    catalog_parts: BTreeMap<u32, copy::CatalogPart>,
+    /// Shards of the machine types: of how many, and which.
+    catalog_shards: BTreeMap<u32, copy::CatalogShard>,
     /// Groups of machines.
     pub groups: BTreeMap<Arc<str>, Group>,
     /// Teams.
@@ -279,13 +222,13 @@
     /// What this process is entitled to.
     pub role: Role,
     /// Tasks seen on machines where no record has them.
-    pub ghosts: HashMap<TaskId, Arc<str>>,
+    pub unexpected_tasks: HashMap<TaskId, Arc<str>>,
     /// Machines whose release was answered, and when.
     pub gone: HashMap<Arc<str>, Instant>,
     /// Tasks that found no place in the last round.
     pub unplaced: Vec<Demand>,
     /// Loops to wake.
-    pub wakes: Wakes,
+    pub wakeups: Wakeups,
     fleet: fleet::FleetState,
     draining: drain::DrainState,
     displaced: Option<Instant>,
@@ -314,28 +257,19 @@
             jobs: HashMap::default(),
             open: BTreeSet::new(),
             waiting: BTreeSet::new(),
-            first: Queue::default(),
-            soon: Queue::default(),
-            dirty: Queue::default(),
-            sent_at: HashMap::new(),
-            lazy: VecDeque::new(),
-            worth: (None, HashMap::new()),
-            on_way: HashMap::new(),
-            again: HashSet::new(),
-            behind: HashMap::new(),
-            loads: BTreeMap::new(),
+            commits: CommitQueue::default(),
+            shards: BTreeMap::new(),
             pending: BTreeMap::new(),
             absorbing: BTreeSet::new(),
             weighed: None,
             inherited: BTreeMap::new(),
-            folds: HashMap::new(),
-            litter: BTreeSet::new(),
+            completed_records: HashMap::new(),
+            obsolete_keys: BTreeSet::new(),
             departed: Vec::new(),
-            catalog_parts: BTreeMap::new(),
-            units: 0,
+            catalog_shards: BTreeMap::new(),
             unsettled: BTreeSet::new(),
             machines: IndexMap::default(),
-            roomy: BTreeMap::new(),
+            machines_by_free_cpus: BTreeMap::new(),
             hints: BTreeMap::new(),
             groups: BTreeMap::new(),
             teams,
@@ -346,10 +280,10 @@
             catalog: None,
             drains: BTreeMap::new(),
             role: Role::default(),
-            ghosts: HashMap::new(),
+            unexpected_tasks: HashMap::new(),
             gone: HashMap::new(),
             unplaced: Vec::new(),
-            wakes: Wakes::default(),
+            wakeups: Wakeups::default(),
             fleet: fleet::FleetState::default(),
             draining: drain::DrainState::default(),
             displaced: None,
@@ -371,7 +305,7 @@
             if let Some(image) = image {
                 machine.note_image(image, false);
             }
-            reindex(&mut self.roomy, machine, before);
+            reindex(&mut self.machines_by_free_cpus, machine, before);
         }
     }
 
@@ -383,9 +317,9 @@
         {
             let before = machine.room().cpus;
             machine.booked -= amounts;
-            reindex(&mut self.roomy, machine, before);
+            reindex(&mut self.machines_by_free_cpus, machine, before);
         }
-        self.wakes.place = true;
+        self.wakeups.place = true;
     }
 
     /// Frees the room of a task that has left its machine by proof. The record
@@ -399,9 +333,9 @@
         if let Some(machine) = self.machines.get_mut(&placed.machine) {
             let before = machine.room().cpus;
             machine.booked -= amounts;
-            reindex(&mut self.roomy, machine, before);
+            reindex(&mut self.machines_by_free_cpus, machine, before);
         }
-        self.wakes.place = true;
+        self.wakeups.place = true;
     }
 
     /// Brings what is derived from a job's records up to date.
@@ -435,7 +369,7 @@
 
     /// How many jobs have admissions or placements that wait to be committed.
     pub fn backed_up(&self) -> usize {
-        self.soon.len() + self.dirty.len()
+        self.commits.backlog()
     }
 
     /// A job that is not over.
@@ -472,7 +406,7 @@
             .placed
             .iter()
             .filter(|(index, p)| !p.committed && void(job, **index, p))
-            .filter(|(_, p)| !self.on_way.contains_key(&Subject::Part(p.home)))
+            .filter(|(_, p)| !self.commits.is_in_flight(&Subject::Shard(p.home)))
             .map(|(i, p)| (*i, p.clone()))
             .collect();
         if void.is_empty() {
@@ -500,25 +434,25 @@
         let silence = self.silence();
         let mut summary = Summary {
             leads: self.leads(now),
-            blocks: self.role.holdings.len(),
+            blocks: self.role.leased_blocks.len(),
             jobs: self.open.len(),
             ..Summary::default()
         };
         let (mut free, mut all) = (0, 0);
         for machine in self.machines.values() {
-            let Some(holding) = self.role.holdings.get(&machine.block) else { continue };
+            let Some(block_lease) = self.role.leased_blocks.get(&machine.block) else { continue };
             summary.machines += 1;
             summary.placed += machine.tasks.len();
-            if machine.open(holding.epoch, silence, now) {
+            if machine.open(block_lease.epoch, silence, now) {
                 summary.open_machines += 1;
                 free += machine.room().cpus;
                 all += machine.capacity.cpus;
             }
         }
         summary.free_percent = (free * 100).checked_div(all).unwrap_or(0);
-        let own = self.loads.iter().filter(|(id, load)| self.is_holder(id.block) && !load.is_empty());
+        let own = self.shards.iter().filter(|(id, load)| self.is_holder(id.block) && !load.is_empty());
         for (_, load) in own {
-            summary.parts += 1;
+            summary.shards += 1;
             summary.bytes += load.size;
         }
         summary.layout = self.format;
@@ -531,14 +465,18 @@
     }
 
     /// Takes what loops have to be woken for.
-    pub fn take_wakes(&mut self) -> Wakes {
-        std::mem::take(&mut self.wakes)
+    pub fn take_wakeups(&mut self) -> Wakeups {
+        std::mem::take(&mut self.wakeups)
     }
 }
 
 /// Moves a machine within the index of free processors.
-fn reindex(roomy: &mut BTreeMap<u32, BTreeSet<(i64, Arc<str>)>>, machine: &Machine, before: i64) {
-    let block = roomy.entry(machine.block).or_default();
+fn reindex(
+    machines_by_free_cpus: &mut BTreeMap<u32, BTreeSet<(i64, Arc<str>)>>,
+    machine: &Machine,
+    before: i64,
+) {
+    let block = machines_by_free_cpus.entry(machine.block).or_default();
     block.remove(&(before, machine.id.clone()));
     block.insert((machine.room().cpus, machine.id.clone()));
 }
--- a/crates/dapplecroft-controller/src/core/offers.rs
+++ b/crates/dapplecroft-controller/src/core/offers.rs
@@ -2,26 +2,30 @@
 //! what is kept up for services.
 
 use super::Core;
-use super::copy::CatalogPart;
+use super::copy::CatalogShard;
+use super::fleet::MachineKind;
 use super::layout::to_value;
 use crate::machines::Fate;
 use crate::records::{self, stored_size};
 use dapplecroft_sched::{Amounts, Offer, Rental, Rooms};
 use dapplecroft_state::Unit;
-use dapplecroft_wire::cloud::Catalog;
+use dapplecroft_wire::cloud::{Catalog, MachineType};
 use dapplecroft_wire::state::{Change, Condition};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Records of machine types are sized as if there were so many of them.
+const MOST_CATALOG_SHARDS: u32 = 1000;
+
 impl Core {
     /// Takes over the machine types; returns whether the record of them is
     /// behind. Prices move all the time and are not recorded for that alone.
     pub fn take_catalog(&mut self, catalog: Catalog) -> bool {
         let plain = |c: &Catalog| {
             let mut c = c.clone();
-            for hull in &mut c.hulls {
-                (hull.price, hull.spot_price) = (0.0, 0.0);
+            for machine_type in &mut c.machine_types {
+                (machine_type.price, machine_type.spot_price) = (0.0, 0.0);
             }
             c
         };
@@ -33,7 +37,7 @@
         let unrecorded = !recorded;
         self.catalog = Some(catalog);
         self.size_machines();
-        self.wakes.place = true;
+        self.wakeups.place = true;
         changed || unrecorded
     }
 
@@ -47,42 +51,30 @@
         if self.is_mixed() {
             return vec![set(records::CATALOG.into(), to_value(catalog))];
         }
-        let limit = self.limits().value;
-        let mut parts: Vec<CatalogPart> = Vec::new();
-        for hull in &catalog.hulls {
-            let mut with = parts.pop().unwrap_or(CatalogPart { of: 1000, hulls: Vec::new() });
-            with.hulls.push(hull.clone());
-            if stored_size(&to_value(&with)) > limit && with.hulls.len() > 1 {
-                with.hulls.pop();
-                parts.push(with);
-                with = CatalogPart { of: 1000, hulls: vec![hull.clone()] };
-            }
-            parts.push(with);
-        }
-        parts.retain(|p| stored_size(&to_value(p)) <= limit);
-        let of = parts.len() as u32;
-        let parts = parts.into_iter().map(|p| CatalogPart { of, ..p }).zip(0..);
-        let changed = parts.filter(|(p, n)| self.catalog_parts.get(n) != Some(p));
-        changed.map(|(p, n)| set(records::catalog_key(n), to_value(&p))).collect()
+        let shards = catalog_shards(&catalog.machine_types, self.limits().value);
+        let numbered = (0..).zip(shards);
+        let changed = numbered.filter(|(number, shard)| self.catalog_shards.get(number) != Some(shard));
+        changed.map(|(number, shard)| set(records::catalog_key(number), to_value(&shard))).collect()
     }
 
     pub(super) fn offers(&self, now: Instant) -> Vec<Offer> {
         let Some(catalog) = &self.catalog else { return Vec::new() };
         let mut offers = Vec::new();
-        for hull in &catalog.hulls {
-            for zone in &hull.zones {
+        for machine_type in &catalog.machine_types {
+            for zone in &machine_type.zones {
                 for spot in [false, true] {
-                    let kind = (hull.name.clone(), zone.clone(), spot);
-                    if self.fleet.refused.get(&kind).is_some_and(|(until, _)| *until > now) {
+                    let kind =
+                        MachineKind { machine_type: machine_type.name.clone(), zone: zone.clone(), spot };
+                    if self.fleet.refused.get(&kind).is_some_and(|refusal| refusal.until > now) {
                         continue;
                     }
                     offers.push(Offer {
-                        machine_type: hull.name.clone(),
+                        machine_type: machine_type.name.clone(),
                         zone: zone.clone(),
                         spot,
-                        capacity: Amounts::new(hull.cpus, hull.gpus, hull.memory_gb),
-                        price: if spot { hull.spot_price } else { hull.price },
-                        boot_s: hull.boot_s,
+                        capacity: Amounts::new(machine_type.cpus, machine_type.gpus, machine_type.memory_gb),
+                        price: if spot { machine_type.spot_price } else { machine_type.price },
+                        boot_s: machine_type.boot_s,
                     });
                 }
             }
@@ -91,8 +83,9 @@
     }
 
     pub(super) fn boot_time(&self, machine_type: &str) -> Duration {
-        let hull = self.catalog.as_ref().and_then(|c| c.hulls.iter().find(|h| h.name == machine_type));
-        Duration::from_secs_f64(hull.map_or(60.0, |h| h.boot_s.clamp(1.0, 3600.0)))
+        let machine_type =
+            self.catalog.as_ref().and_then(|c| c.machine_types.iter().find(|h| h.name == machine_type));
+        Duration::from_secs_f64(machine_type.map_or(60.0, |h| h.boot_s.clamp(1.0, 3600.0)))
     }
 
     /// How long idle machines are kept by type and kind: two boot times for what
@@ -100,7 +93,7 @@
     pub(super) fn idle_times(&self) -> BTreeMap<(String, bool), Duration> {
         let Some(catalog) = &self.catalog else { return BTreeMap::new() };
         let rates: Vec<((String, bool), f64, f64)> = catalog
-            .hulls
+            .machine_types
             .iter()
             .flat_map(|t| [(t, false, t.price), (t, true, t.spot_price)])
             .filter(|(t, _, price)| t.cpus > 0.0 && *price > 0.0)
@@ -149,8 +142,8 @@
         let missing = (self.standby() as i64 - there).max(0) as u32;
         let catalog = self.catalog.as_ref()?;
         let fetch = |name: &str| {
-            let hull = catalog.hulls.iter().find(|h| h.name == name);
-            1.0 / hull.map_or(0.0, |h| h.fetch_gb_per_s).max(0.001)
+            let machine_type = catalog.machine_types.iter().find(|h| h.name == name);
+            1.0 / machine_type.map_or(0.0, |h| h.fetch_gb_per_s).max(0.001)
         };
         let ordinary = offers.iter().enumerate().filter(|(_, o)| !o.spot);
         let best = ordinary.min_by(|(_, a), (_, b)| {
@@ -160,3 +153,26 @@
         best.filter(|_| missing > 0).map(|(offer, _)| Rental { offer, count: missing })
     }
 }
+
+/// Splits machine types into records that each fit a value of `limit` bytes. A
+/// type that fits none by itself is left out.
+fn catalog_shards(machine_types: &[MachineType], limit: usize) -> Vec<CatalogShard> {
+    let fits = |machine_types: &[MachineType]| {
+        let shard = CatalogShard { total: MOST_CATALOG_SHARDS, machine_types: machine_types.to_vec() };
+        stored_size(&to_value(&shard)) <= limit
+    };
+    let mut shards: Vec<Vec<MachineType>> = Vec::new();
+    for machine_type in machine_types.iter().filter(|m| fits(std::slice::from_ref(m))) {
+        match shards.last_mut() {
+            Some(last) if fits(&[last.as_slice(), std::slice::from_ref(machine_type)].concat()) => {
+                last.push(machine_type.clone());
+            }
+            _ => shards.push(vec![machine_type.clone()]),
+        }
+    }
+    let total = shards.len() as u32;
+    shards.into_iter().map(|machine_types| CatalogShard { total, machine_types }).collect()
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -18,38 +18,55 @@
 /// one higher.
 const BEGIN_WITHIN: f64 = 150.0;
 /// So many tasks make a beginning.
-const FEW: usize = 2;
+const STARTER_TASKS: usize = 2;
 /// The same, but for the rank, for what has begun and does not get on.
 const END_WITHIN: f64 = 400.0;
 
 /// Other work has so long to give way to replicas before machines are rented.
 const GIVE_WAY: Duration = Duration::from_secs(2);
 
-/// In which order jobs are served: rank, then those that have waited very long
-/// by age, then work within a guarantee, then how pressing it is, then the
-/// larger tasks, then the jobs with the least left to do, then what is due
-/// first.
-type Order = (u8, u64, bool, Pressing, Reverse<i64>, u64, u64, u64);
+/// In which order jobs are served: the job with the smallest key goes first.
+/// Fields are compared in the order in which they stand here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct ServingKey {
+    /// The effective rank; lower numbers go first.
+    rank: u8,
+    /// For a job that has waited very long, its submission time in milliseconds
+    /// since 1970; for all others, the largest number.
+    starved_since: u64,
+    /// Work within its team's guarantee goes before work beyond it.
+    beyond_guarantee: bool,
+    /// Whether the job can still meet its deadline.
+    deadline: DeadlineState,
+    /// Best fit *decreasing*: the larger tasks first.
+    task_cpus: Reverse<i64>,
+    /// Estimated seconds of run time that are left of the job.
+    work_left_s: u64,
+    /// When it is due, in milliseconds since 1970.
+    due_ms: u64,
+    /// When it was submitted, in milliseconds since 1970.
+    submitted_ms: u64,
+}
 
-/// Whether a job can still be in time. Best fit is decreasing within each of
-/// these. Those that have time are not put behind those that must start soon:
+/// Whether a job can still meet its deadline. Best fit is decreasing within each
+/// of these. Those that have time are not put behind those that must start soon:
 /// in overload all would wait until they are nearly late, and then be late
 /// together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Pressing {
+enum DeadlineState {
     /// It can still be in time.
     InTime,
     /// It is too late already: others can still be in time.
     Missed,
 }
 
-fn pressing(left: f64, estimate: f64) -> Pressing {
+fn deadline_state(left: f64, estimate: f64) -> DeadlineState {
     // A service has neither.
     if estimate <= 0.0 {
-        return Pressing::InTime;
+        return DeadlineState::InTime;
     }
     // Estimates are often wrong by a quarter.
-    if left < 0.75 * estimate { Pressing::Missed } else { Pressing::InTime }
+    if left < 0.75 * estimate { DeadlineState::Missed } else { DeadlineState::InTime }
 }
 
 /// What a round has decided so far.
@@ -106,14 +123,14 @@
     /// What a machine of a type has.
     pub(super) fn capacity(&self, machine_type: &str) -> Option<Amounts> {
         let catalog = self.catalog.as_ref()?;
-        let hull = catalog.hulls.iter().find(|t| t.name == machine_type)?;
-        Some(Amounts::new(hull.cpus, hull.gpus, hull.memory_gb))
+        let machine_type = catalog.machine_types.iter().find(|t| t.name == machine_type)?;
+        Some(Amounts::new(machine_type.cpus, machine_type.gpus, machine_type.memory_gb))
     }
 
     /// How quickly machines of a type fetch images, in megabytes a second.
     fn fetch_rate(&self, machine_type: &str) -> u32 {
-        let hulls = self.catalog.iter().flat_map(|c| &c.hulls);
-        let rate = hulls.filter(|h| h.name == machine_type).map(|h| h.fetch_gb_per_s).next();
+        let machine_types = self.catalog.iter().flat_map(|c| &c.machine_types);
+        let rate = machine_types.filter(|h| h.name == machine_type).map(|h| h.fetch_gb_per_s).next();
         (rate.unwrap_or(0.0) * 1000.0) as u32
     }
 
@@ -155,18 +172,18 @@
     /// A job's rank, one higher once it has waited very long. What is placed of
     /// it keeps that rank while it is young, or the job would be undone again
     /// and again by more urgent ones.
-    pub(super) fn standing(&self, job: &OpenJob) -> u8 {
+    pub(super) fn effective_rank(&self, job: &OpenJob) -> u8 {
         let old = self.wall - job.record.at > BEGIN_WITHIN;
         // A few tasks are enough to begin: a large job must not take the place
         // of all urgent work.
-        let few = job.placed.len() <= FEW && job.done.is_empty();
+        let few = job.placed.len() <= STARTER_TASKS && job.done.is_empty();
         if old && few { job.rank().saturating_sub(1) } else { job.rank() }
     }
 
     /// Waiting jobs in the order in which they are served.
-    fn serving_order(&self, wall: f64, now: Instant) -> Vec<(Order, Arc<str>)> {
+    fn serving_order(&self, wall: f64, now: Instant) -> Vec<(ServingKey, Arc<str>)> {
         let guaranteed = self.guaranteed();
-        let mut order: Vec<(Order, Arc<str>)> = self
+        let mut order: Vec<(ServingKey, Arc<str>)> = self
             .waiting
             .iter()
             .filter_map(|id| {
@@ -176,19 +193,19 @@
                 }
                 let within = guaranteed.get(id).copied().unwrap_or(false);
                 let due = self.due(job);
-                let at = (job.record.at.max(0.0) * 1000.0) as u64;
-                let rank = self.standing(job);
+                let submitted_ms = (job.record.at.max(0.0) * 1000.0) as u64;
+                let rank = self.effective_rank(job);
                 let starved = rank < job.rank() || self.is_starved(job);
-                let key = (
+                let key = ServingKey {
                     rank,
-                    if starved { at } else { u64::MAX },
-                    !within,
-                    pressing(due - wall, job.spec.estimate_s),
-                    Reverse(job.need.amounts.cpus),
-                    (f64::from(job.left()) * job.spec.estimate_s) as u64,
-                    (due.max(0.0) * 1000.0) as u64,
-                    at,
-                );
+                    starved_since: if starved { submitted_ms } else { u64::MAX },
+                    beyond_guarantee: !within,
+                    deadline: deadline_state(due - wall, job.spec.estimate_s),
+                    task_cpus: Reverse(job.need.amounts.cpus),
+                    work_left_s: (f64::from(job.left()) * job.spec.estimate_s) as u64,
+                    due_ms: (due.max(0.0) * 1000.0) as u64,
+                    submitted_ms,
+                };
                 Some((key, id.clone()))
             })
             .collect();
@@ -214,7 +231,7 @@
         let mut unplaced = Vec::new();
         for (_, id) in &order {
             let Some(job) = self.open_job(id) else { continue };
-            round.most = if self.standing(job) < job.rank() { FEW } else { usize::MAX };
+            round.most = if self.effective_rank(job) < job.rank() { STARTER_TASKS } else { usize::MAX };
             let here: Vec<u32> = job.waiting.keys().copied().filter(|b| self.is_holder(*b)).collect();
             for block in here {
                 self.place_in(id, block, &mut round, now);
@@ -226,14 +243,14 @@
             unplaced.extend(self.left_unplaced(id, &mut round, leads));
         }
         if round.left == 0 {
-            self.wakes.place = true;
+            self.wakeups.place = true;
         }
         if self.options.preempt {
             self.displace(&unplaced, now);
         }
         if leads {
             if !unplaced.is_empty() {
-                self.wakes.fleet = true;
+                self.wakeups.fleet = true;
             }
             self.unplaced = unplaced
                 .into_iter()
@@ -246,7 +263,7 @@
                     (!job.is_service() || waits).then(|| Demand {
                         need: (*u.need).clone(),
                         count: u.count,
-                        soon: job.is_service(),
+                        fastest: job.is_service(),
                     })
                 })
                 .collect();
@@ -293,10 +310,12 @@
         now: Instant,
     ) -> Vec<(Arc<str>, Candidate)> {
         let need = &job.need;
-        let Some(roomy) = self.roomy.get(&block).filter(|_| !self.is_record_full(block)) else {
+        let Some(machines_by_free_cpus) =
+            self.machines_by_free_cpus.get(&block).filter(|_| !self.is_record_full(block))
+        else {
             return Vec::new();
         };
-        let epoch = self.role.holdings.get(&block).map(|h| h.epoch);
+        let epoch = self.role.leased_blocks.get(&block).map(|h| h.epoch);
         let silence = self.silence();
         let kept = self.drains.get(&block).map(|(d, _)| d).filter(|d| *d.for_job != **id);
         let service = job.is_service();
@@ -336,7 +355,7 @@
         };
         let least: (i64, Arc<str>) = (need.amounts.cpus, "".into());
         let mut found: Vec<(Arc<str>, Candidate)> =
-            roomy.range(least..).filter_map(|(_, name)| consider(name)).collect();
+            machines_by_free_cpus.range(least..).filter_map(|(_, name)| consider(name)).collect();
         if !hints.is_empty() {
             // Those that have room only by what was told besides their record.
             let mut more: Vec<&Arc<str>> = hints
@@ -358,92 +377,92 @@
     /// Places what waits in a block of this holder.
     pub(super) fn place_in(&mut self, id: &Arc<str>, block: u32, round: &mut Round, now: Instant) {
         let Some(job) = self.open_job(id).filter(|j| j.is_open()) else { return };
-        let waiting: Vec<u32> = job
-            .waiting
-            .get(&block)
-            .map(|r| r.iter().take(round.left.min(round.most)).collect())
-            .unwrap_or_default();
-        // One that is still somewhere, against all records, waits.
-        let mut waiting: Vec<u32> = waiting
-            .into_iter()
-            .filter(|i| {
-                self.ghosts.is_empty() || !self.ghosts.contains_key(&TaskId { job: id.clone(), index: *i })
-            })
-            .collect();
-        if waiting.is_empty() {
-            return;
-        }
-        let before = waiting.len();
         let need = job.need.clone();
-        if round.is_full(Some(block), &need) {
+        let mut waiting = self.placeable(id, job, block, round);
+        if waiting.is_empty() || round.is_full(Some(block), &need) {
             return;
         }
-        let urgent = job.spec.priority < Rank::Normal;
-        let service = job.is_service();
-        if let Some((drain, _)) = self.drains.get(&block).cloned() {
-            // What a drain moves goes where the drain says, if it still fits.
-            for (_, index, _, to) in drain.moves.iter().filter(|(j, _, _, _)| *j == **id) {
-                let Some(position) = waiting.iter().position(|i| i == index) else { continue };
-                let to: Arc<str> = to.as_str().into();
-                let Some(job) = self.open_job(id) else { return };
-                let machines = self.candidates(id, job, block, &HashMap::new(), now);
-                if machines.iter().any(|(name, _)| *name == to) {
-                    waiting.remove(position);
-                    self.propose(&TaskId { job: id.clone(), index: *index }, &to, urgent, now);
-                }
-            }
-        }
-        let constrained = job_is_constrained(self.open_job(id));
+        let before = waiting.len();
+        self.place_drained(id, block, &mut waiting, now);
+        let Some(job) = self.open_job(id) else { return };
+        let (constrained, service) = (job.is_constrained(), job.is_service());
         while !waiting.is_empty() {
-            let Some(job) = self.open_job(id) else { return };
-            let mut machines = self.candidates(id, job, block, &HashMap::new(), now);
-            if constrained {
-                let zones = self.zones_of(job);
-                machines.retain(|(name, _)| {
-                    self.machines.get(name).is_some_and(|m| zone_allows(job, &zones, &m.zone))
-                });
-            }
-            // With constraints on zones each task may change what the next may do.
-            let count = if constrained { 1 } else { waiting.len() as i64 };
-            let candidates: Vec<Candidate> = machines.iter().map(|(_, c)| *c).collect();
-            // Replicas of a service go to one machine each while there is a choice.
-            let each = if service { 1 } else { i64::MAX };
-            let chosen = best_fit_of(&candidates, &need.amounts, count, each);
-            if chosen.is_empty() {
-                break;
-            }
-            let mut used = 0;
-            for (index, n) in chosen {
-                let machine = machines[index].0.clone();
-                for _ in 0..n {
-                    let Some(task) = waiting.get(used).copied() else { break };
-                    let task = TaskId { job: id.clone(), index: task };
-                    // The machine may have room and its record none.
-                    if !self.propose(&task, &machine, urgent, now) {
-                        break;
-                    }
-                    used += 1;
-                }
-            }
-            waiting.drain(..used);
-            if !(constrained || service) || used == 0 {
+            let placed = self.place_some(id, block, &waiting, now);
+            waiting.drain(..placed);
+            // With constraints on zones each task may change what the next may do;
+            // replicas go to one machine each while there is a choice.
+            if placed == 0 || !(constrained || service) {
                 break;
             }
         }
-        let placed = before - waiting.len();
-        if !waiting.is_empty()
-            && !constrained
-            && !service
-            && self.open_job(id).is_some_and(|j| j.failed_on.is_empty())
-        {
+        let never_failed = self.open_job(id).is_some_and(|j| j.failed_on.is_empty());
+        if !waiting.is_empty() && !constrained && !service && never_failed {
             round.full.push((Some(block), need));
         }
+        let placed = before - waiting.len();
         if placed > 0 {
             round.left = round.left.saturating_sub(placed);
             self.rederive(id);
         }
     }
 
+    /// Tasks of a job that wait in a block and may be placed in this round. One
+    /// that is still on a machine, against all records, waits.
+    fn placeable(&self, id: &Arc<str>, job: &OpenJob, block: u32, round: &Round) -> Vec<u32> {
+        let most = round.left.min(round.most);
+        let is_elsewhere = |index: u32| {
+            let task = TaskId { job: id.clone(), index };
+            !self.unexpected_tasks.is_empty() && self.unexpected_tasks.contains_key(&task)
+        };
+        let waiting = job.waiting.get(&block).into_iter().flat_map(|ranges| ranges.iter());
+        waiting.take(most).filter(|index| !is_elsewhere(*index)).collect()
+    }
+
+    /// What a drain moves goes where the drain says, if it still fits.
+    fn place_drained(&mut self, id: &Arc<str>, block: u32, waiting: &mut Vec<u32>, now: Instant) {
+        let Some((drain, _)) = self.drains.get(&block).cloned() else { return };
+        for (_, index, _, to) in drain.moves.iter().filter(|(job, _, _, _)| *job == **id) {
+            let Some(position) = waiting.iter().position(|waits| waits == index) else { continue };
+            let to: Arc<str> = to.as_str().into();
+            let Some(job) = self.open_job(id) else { return };
+            let machines = self.candidates(id, job, block, &HashMap::new(), now);
+            if machines.iter().any(|(name, _)| *name == to) {
+                waiting.remove(position);
+                self.propose(&TaskId { job: id.clone(), index: *index }, &to, now);
+            }
+        }
+    }
+
+    /// Places the first of the waiting tasks by best fit, as many as find room at
+    /// once; returns how many.
+    fn place_some(&mut self, id: &Arc<str>, block: u32, waiting: &[u32], now: Instant) -> usize {
+        let Some(job) = self.open_job(id) else { return 0 };
+        let mut machines = self.candidates(id, job, block, &HashMap::new(), now);
+        if job.is_constrained() {
+            let zones = self.zones_of(job);
+            machines.retain(|(name, _)| {
+                self.machines.get(name).is_some_and(|m| zone_allows(job, &zones, &m.zone))
+            });
+        }
+        let count = if job.is_constrained() { 1 } else { waiting.len() as i64 };
+        let each = if job.is_service() { 1 } else { i64::MAX };
+        let candidates: Vec<Candidate> = machines.iter().map(|(_, candidate)| *candidate).collect();
+        let chosen = best_fit_of(&candidates, &job.need.amounts, count, each);
+        let mut placed = 0;
+        for (index, tasks) in chosen {
+            let machine = machines[index].0.clone();
+            for _ in 0..tasks {
+                let Some(task) = waiting.get(placed).copied() else { break };
+                // The machine may have room and its record none.
+                if !self.propose(&TaskId { job: id.clone(), index: task }, &machine, now) {
+                    break;
+                }
+                placed += 1;
+            }
+        }
+        placed
+    }
+
     /// How many of a job's tasks each zone has.
     fn zones_of(&self, job: &OpenJob) -> BTreeMap<String, u32> {
         let mut zones = BTreeMap::new();
@@ -457,18 +476,19 @@
 
     /// Books a task on a machine until its record is committed or refused; the
     /// caller derives the job anew. `false`: there is no room in the record.
-    fn propose(&mut self, task: &TaskId, machine: &Arc<str>, urgent: bool, now: Instant) -> bool {
+    fn propose(&mut self, task: &TaskId, machine: &Arc<str>, now: Instant) -> bool {
         let Some(session) = self.machines.get(machine).map(|m| m.session) else { return false };
         let Some(attempt) = self.open_job(&task.job).map(|j| j.next_attempt(task.index)) else {
             return false;
         };
-        let Some(home) = self.settle_part(machine) else { return false };
+        let Some(home) = self.assign_shard(machine) else { return false };
         if !self.weigh(task, home) {
             return false;
         }
         let Some(Job::Open(job)) = self.jobs.get_mut(&task.job) else { return false };
         let waited = now.saturating_duration_since(job.learned);
         tracing::debug!(%task, class = job.spec.class, machine = &**machine, attempt, ?waited, "placing");
+        let urgent = job.spec.priority < Rank::Normal;
         job.served = now;
         job.placed.insert(
             task.index,
@@ -486,15 +506,11 @@
             },
         );
         self.book(task, machine, home.block, now);
-        self.mark_part(home, urgent);
+        self.mark_shard(home, urgent);
         true
     }
 }
 
-fn job_is_constrained(job: Option<&OpenJob>) -> bool {
-    job.is_some_and(|j| j.spec.one_zone || j.spec.spread)
-}
-
 /// Whether a job's constraints on zones let another of its tasks go to one.
 fn zone_allows(job: &OpenJob, zones: &BTreeMap<String, u32>, zone: &str) -> bool {
     let here = zones.get(zone).copied().unwrap_or(0);
--- a/crates/dapplecroft-controller/src/core/roles.rs
+++ b/crates/dapplecroft-controller/src/core/roles.rs
@@ -36,7 +36,7 @@
     /// its blocks are unchanged.
     pub fn role_conditions(&self) -> Vec<Condition> {
         let leader = self.role.leadership.map(|version| Condition { key: records::LEADER.into(), version });
-        let blocks = self.role.holdings.iter();
+        let blocks = self.role.leased_blocks.iter();
         leader
             .into_iter()
             .chain(blocks.map(|(n, h)| Condition { key: records::block_key(*n), version: h.version }))
@@ -62,7 +62,7 @@
         self.role.leadership = Some(version);
         self.fleet = fleet::FleetState::default();
         self.groups.retain(|_, g| g.version > 0);
-        self.wakes.role = true;
+        self.wakeups.role = true;
     }
 
     /// As leader, begins its work once all that earlier leaders committed is
@@ -76,8 +76,8 @@
             for id in open {
                 self.finish_if_over(&id);
             }
-            self.wakes.place = true;
-            self.wakes.fleet = true;
+            self.wakeups.place = true;
+            self.wakeups.fleet = true;
         }
     }
 
@@ -87,14 +87,14 @@
         if self.role.leadership.take().is_some() {
             tracing::info!(why, "no longer leader");
         }
-        self.wakes.role = true;
+        self.wakeups.role = true;
         // Admissions that are on their way are settled by their commits, which
         // name the leader's key; the others are void.
         let jobs: Vec<Arc<str>> = self.open.iter().cloned().collect();
         for id in jobs {
             let Some(Job::Open(job)) = self.jobs.get_mut(&id) else { continue };
             let decided = !(job.admitting.is_empty() && job.revoking.is_empty());
-            if decided && !self.on_way.contains_key(&Subject::Job(id.clone())) {
+            if decided && !self.commits.is_in_flight(&Subject::Job(id.clone())) {
                 job.admitting.clear();
                 job.revoking.clear();
                 self.rederive(&id);
@@ -109,7 +109,7 @@
     /// Gives up everything that hangs on this process's lease.
     pub fn step_down(&mut self, why: &str, now: Instant) {
         self.resign(why, now);
-        let blocks: Vec<u32> = self.role.holdings.keys().copied().collect();
+        let blocks: Vec<u32> = self.role.leased_blocks.keys().copied().collect();
         for block in blocks {
             self.lose_block(block, why, now);
         }
@@ -153,7 +153,7 @@
 
     /// Whether this process is leader or holder.
     pub fn has_role(&self) -> bool {
-        self.role.leadership.is_some() || !self.role.holdings.is_empty()
+        self.role.leadership.is_some() || !self.role.leased_blocks.is_empty()
     }
 
     /// This node's part of the state service's writes: users write at every
@@ -162,14 +162,14 @@
         let nodes = f64::from(self.settings.params.nodes.max(1));
         let sizes = self.block_sizes();
         let all: usize = sizes.values().sum();
-        let own: usize = self.role.holdings.keys().filter_map(|b| sizes.get(b)).sum();
+        let own: usize = self.role.leased_blocks.keys().filter_map(|b| sizes.get(b)).sum();
         let machines = match all {
             0 => f64::from(u8::from(self.role.leadership.is_some())),
             _ => own as f64 / all as f64,
         };
         // Many small tasks take more changes than a few large ones.
         let bytes = |mine: bool| -> usize {
-            let of = self.loads.iter().filter(|(id, _)| !mine || self.is_holder(id.block));
+            let of = self.shards.iter().filter(|(id, _)| !mine || self.is_holder(id.block));
             of.map(|(_, l)| l.size).sum()
         };
         let held = match bytes(false) {
--- a/crates/dapplecroft-controller/src/core/roles/tests.rs
+++ b/crates/dapplecroft-controller/src/core/roles/tests.rs
@@ -1,18 +1,6 @@
 use super::*;
-use crate::options::Options;
-use dapplecroft_wire::settings::Settings;
+use crate::core::testing::core;
 use dapplecroft_wire::state::Followed;
-use serde_json::json;
-
-fn core() -> Core {
-    let text = json!({"host_name": "c-0", "listen": "10.0.0.1:1", "back": "10.0.0.1:2",
-        "external": {"cloud": "10.0.0.2:1", "state": "10.0.0.2:2"},
-        "facts": {"nodes": 1, "teams": [], "workers": {"report_s": 3.0, "lease_s": 27.0, "cancel_s": 47.0},
-            "state": {"rps": 100.0, "write_rps": 20.0, "value_kb": 8.0, "txn_ops": 12},
-            "cloud": {"rps": 5.0, "list_lag_s": 8.0}}});
-    let settings = Settings::parse(&text.to_string()).unwrap();
-    Core::new(settings.into(), Options::default(), "p".into())
-}
 
 // After a cut, a replaced leader found its own key in its copy, which had
 // not caught up, and took its role up again for a moment.
--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -12,14 +12,14 @@
 const MAX_ORDERS: usize = 200;
 
 /// A replica that ran for so long had started well.
-const STOOD: Duration = Duration::from_secs(30);
+const STABLE_REPLICA_RUN: Duration = Duration::from_secs(30);
 /// Replicas on a machine that the cloud takes back are stopped so long before:
 /// they start elsewhere as soon as that is known.
 const LAST_MOMENT: Duration = Duration::from_secs(3);
 
 /// What a worker's report is answered with.
 #[derive(Debug, Clone, PartialEq)]
-pub enum HelloAnswer {
+pub enum ReportAnswer {
     /// Stay, and do this.
     Orders(Orders),
     /// Another node is the right one, if known.
@@ -31,11 +31,11 @@
 impl Core {
     /// The answer to a report that this process does not take over: another one
     /// is the right one, or nobody is known to be. `None`: it must be read.
-    pub fn not_taken(&self, head: &ReportHead, now: Instant) -> Option<HelloAnswer> {
+    pub fn not_taken(&self, head: &ReportHead, now: Instant) -> Option<ReportAnswer> {
         let id = head.machine.as_str();
         if !self.loaded || self.gone.contains_key(id) {
             // If its release was answered, this is a late copy of a message.
-            return Some(HelloAnswer::Unavailable);
+            return Some(ReportAnswer::Unavailable);
         }
         let Some(machine) = self.machines.get(id).filter(|m| m.group.is_some()) else {
             // A record names every machine before it is used, so one without is
@@ -44,56 +44,56 @@
             return (!unexpected).then(|| self.not_here());
         };
         let block = machine.block;
-        let Some(holding) = self.holding(block, now) else {
+        let Some(block_lease) = self.active_lease(block, now) else {
             // A holder that has lost the state service stops answering, so that
             // its workers' leases end before a cancellation's limit.
             return Some(match self.holder_host(block) {
-                _ if self.is_holder(block) => HelloAnswer::Unavailable,
-                Some(host) => HelloAnswer::Redirect(Some(host.to_string())),
-                None => HelloAnswer::Unavailable,
+                _ if self.is_holder(block) => ReportAnswer::Unavailable,
+                Some(host) => ReportAnswer::Redirect(Some(host.to_string())),
+                None => ReportAnswer::Unavailable,
             });
         };
-        if head.token > machine.token(holding.epoch) {
+        if head.token > machine.token(block_lease.epoch) {
             // Someone with a newer lease commands this worker.
             tracing::info!(machine = id, "a worker knows a newer token than this holder's");
-            return Some(HelloAnswer::Redirect(None));
+            return Some(ReportAnswer::Redirect(None));
         }
         None
     }
 
-    fn not_here(&self) -> HelloAnswer {
+    fn not_here(&self) -> ReportAnswer {
         match self.leader_host() {
-            Some(host) => HelloAnswer::Redirect(Some(host.to_string())),
-            None => HelloAnswer::Unavailable,
+            Some(host) => ReportAnswer::Redirect(Some(host.to_string())),
+            None => ReportAnswer::Unavailable,
         }
     }
 
     /// Answers a report.
-    pub fn hello(&mut self, report: &Report, now: Instant) -> HelloAnswer {
+    pub fn hello(&mut self, report: &Report, now: Instant) -> ReportAnswer {
         let head = ReportHead { machine: report.machine.clone(), token: report.token };
         if let Some(answer) = self.not_taken(&head, now) {
             return answer;
         }
         let id = report.machine.as_str();
         let block = self.machines.get(id).filter(|m| m.group.is_some()).map(|m| m.block);
-        let Some(holding) = block.and_then(|b| self.holding(b, now)) else {
+        let Some(block_lease) = block.and_then(|b| self.active_lease(b, now)) else {
             self.found(report, now);
             return self.not_here();
         };
         self.take_report(report, now);
-        let Some(machine) = self.machines.get(id) else { return HelloAnswer::Unavailable };
-        let token = machine.token(holding.epoch);
+        let Some(machine) = self.machines.get(id) else { return ReportAnswer::Unavailable };
+        let token = machine.token(block_lease.epoch);
         // Only the worker's newest message is answered with commands.
         let newest = (machine.session, machine.sequence) == (report.session, report.sequence);
         let orders = if newest { self.orders(id, true, now) } else { Vec::new() };
         self.note_sent(id, &orders, token);
-        HelloAnswer::Orders(Orders { token, orders })
+        ReportAnswer::Orders(Orders { token, orders })
     }
 
     /// Takes over a report, however it came. Late copies are ignored.
     pub fn take_report(&mut self, report: &Report, now: Instant) {
         let Some(machine) = self.machines.get_mut(report.machine.as_str()) else { return };
-        let Some(holding) = self.role.holdings.get(&machine.block).copied() else { return };
+        let Some(block_lease) = self.role.leased_blocks.get(&machine.block).copied() else { return };
         if self.gone.contains_key(&machine.id)
             || (report.session, report.sequence) <= (machine.session, machine.sequence)
         {
@@ -113,7 +113,7 @@
         if machine.address.as_deref() != Some(report.address.as_str()) {
             machine.address = Some(report.address.clone());
             if let Some(group) = machine.group.as_ref().and_then(|g| self.groups.get_mut(g)) {
-                group.behind = true;
+                group.addresses_unrecorded = true;
             }
         }
         let taken_at = report
@@ -132,27 +132,27 @@
             }
         }
         machine.reported = tasks;
-        let synced = machine.synced(holding.epoch);
+        let synced = machine.synced(block_lease.epoch);
         machine.deaf_since = if synced { None } else { machine.deaf_since.or(Some(now)) };
         if first || synced {
-            self.wakes.place = true;
+            self.wakeups.place = true;
         }
         if first {
-            self.wakes.fleet = true;
+            self.wakeups.fleet = true;
         }
         let id = machine.id.clone();
         self.take_proof(&id, synced, now);
         if noticed {
             self.notice(&id, now);
         }
-        self.wakes.command.insert(id);
+        self.wakeups.command.insert(id);
     }
 
     /// Works out what a machine's newest message proves.
     fn take_proof(&mut self, id: &Arc<str>, synced: bool, now: Instant) {
         let Some(machine) = self.machines.get(id) else { return };
-        let Some(holding) = self.role.holdings.get(&machine.block).copied() else { return };
-        let token = machine.token(holding.epoch);
+        let Some(block_lease) = self.role.leased_blocks.get(&machine.block).copied() else { return };
+        let token = machine.token(block_lease.epoch);
         let session = machine.session;
         let mut ends = Vec::new();
         let mut raise = false;
@@ -203,19 +203,19 @@
             .filter_map(|(t, _)| self.open_job(&t.job).and_then(|j| j.need.image.clone()))
             .collect();
         // What no record has on this machine must end before it runs elsewhere.
-        self.ghosts.retain(|_, on| on != id);
+        self.unexpected_tasks.retain(|_, on| on != id);
         let Some(machine) = self.machines.get_mut(id) else { return };
         for image in ran {
             machine.note_image(image, true);
         }
         for (task, report) in &machine.reported {
             if report.state != TaskState::Exited && !machine.tasks.contains(task) {
-                self.ghosts.insert(task.clone(), id.clone());
+                self.unexpected_tasks.insert(task.clone(), id.clone());
             }
         }
         if raise {
             machine.raise_token();
-            self.wakes.command.insert(id.clone());
+            self.wakeups.command.insert(id.clone());
         }
         for (task, attempt, why) in ends {
             self.end(&task, attempt, why, id, now);
@@ -245,7 +245,7 @@
                 // At once, unless it goes on ending soon after its starts. That
                 // is its own fault, and no machine's.
                 let ran = job.placed.get(&task.index).and_then(|p| p.running);
-                if ran.is_some_and(|at| now.saturating_duration_since(at) >= STOOD) {
+                if ran.is_some_and(|at| now.saturating_duration_since(at) >= STABLE_REPLICA_RUN) {
                     job.failed_on.clear();
                     job.failures = 0;
                 } else {
@@ -272,7 +272,7 @@
                         }
                     }
                 }
-                self.wakes.fleet = true;
+                self.wakeups.fleet = true;
             }
             Some(ExitReason::Full | ExitReason::InUse | ExitReason::NoSuch) => {
                 tracing::info!(task = %task, machine = id, ?why, "a start was refused");
@@ -283,15 +283,15 @@
             _ => {}
         }
         self.free(task);
-        // What runs where a record of the first layout says so ends in a part.
-        let part = if home.part.is_some() { Some(home) } else { self.settle_part(id) };
-        self.note_end(&task.job, part.unwrap_or(home), now);
+        // What runs where a record of the first layout says so ends in a shard.
+        let shard = if home.shard.is_some() { Some(home) } else { self.assign_shard(id) };
+        self.note_end(&task.job, shard.unwrap_or(home), now);
     }
 
     /// Ends everything on a machine whose release was answered: it is gone.
     pub fn machine_gone(&mut self, id: &Arc<str>, now: Instant) {
         self.gone.entry(id.clone()).or_insert(now);
-        self.ghosts.retain(|_, on| on != id);
+        self.unexpected_tasks.retain(|_, on| on != id);
         let Some(machine) = self.machines.get(id) else { return };
         for task in machine.tasks.clone() {
             let placed = self.open_job(&task.job).and_then(|j| j.placed.get(&task.index));
@@ -300,7 +300,7 @@
                 self.end(&task, attempt, None, id, now);
             }
         }
-        self.wakes.fleet = true;
+        self.wakeups.fleet = true;
     }
 
     /// The cloud takes a machine soon: tasks that can't finish before are moved.
@@ -318,8 +318,8 @@
                 placed.stop = Some(Stop::Notice);
             }
         }
-        self.wakes.place = true;
-        self.wakes.fleet = true;
+        self.wakeups.place = true;
+        self.wakeups.fleet = true;
     }
 
     /// Replicas have no end to reach before their machine goes: they serve as
@@ -342,8 +342,10 @@
     /// one command that must not be overtaken by a repeated start.
     fn orders(&self, id: &str, in_answer: bool, now: Instant) -> Vec<Order> {
         let Some(machine) = self.machines.get(id) else { return Vec::new() };
-        let Some(holding) = self.role.holdings.get(&machine.block).copied() else { return Vec::new() };
-        let synced = machine.synced(holding.epoch);
+        let Some(block_lease) = self.role.leased_blocks.get(&machine.block).copied() else {
+            return Vec::new();
+        };
+        let synced = machine.synced(block_lease.epoch);
         let mut orders = Vec::new();
         for (task, report) in &machine.reported {
             let own = self
@@ -425,7 +427,7 @@
     /// Direct commands that a machine should receive now, with its address.
     pub fn next_command(&mut self, id: &str, now: Instant) -> Option<(String, DirectOrders)> {
         let machine = self.machines.get(id)?;
-        let holding = self.holding(machine.block, now)?;
+        let block_lease = self.active_lease(machine.block, now)?;
         let unknown = machine.session == 0 || machine.commanding || machine.releasing;
         if unknown || machine.command_after.is_some_and(|at| at > now) {
             return None;
@@ -434,13 +436,13 @@
         let machine = self.machines.get_mut(id)?;
         // Without commands a message still brings the present token to the
         // worker, so that its tasks are known and it can take work soon.
-        let behind = !machine.synced(holding.epoch);
+        let behind = !machine.synced(block_lease.epoch);
         if orders.is_empty() && !behind {
             return None;
         }
         let address = machine.address.clone()?;
         machine.commanding = true;
-        let (token, session) = (machine.token(holding.epoch), machine.session);
+        let (token, session) = (machine.token(block_lease.epoch), machine.session);
         self.note_sent(id, &orders, token);
         Some((address, DirectOrders { token, session, orders }))
     }
@@ -449,8 +451,8 @@
     /// if it could be read; certainly not delivered; or unknown.
     pub fn command_ended(&mut self, id: &str, sent: &DirectOrders, end: CommandEnd<'_>, now: Instant) {
         let Some(machine) = self.machines.get_mut(id) else { return };
-        let Some(holding) = self.role.holdings.get(&machine.block).copied() else { return };
-        if !machine.is_present(sent.token, holding.epoch) {
+        let Some(block_lease) = self.role.leased_blocks.get(&machine.block).copied() else { return };
+        if !machine.is_present(sent.token, block_lease.epoch) {
             // Sent before the block was lost, or taken up anew.
             return;
         }
@@ -472,7 +474,7 @@
                 tracing::debug!(machine = id, "outcome of commands unknown, token raised");
             }
         }
-        self.wakes.command.insert(id.into());
+        self.wakeups.command.insert(id.into());
     }
 }
 
--- /dev/null
+++ b/crates/dapplecroft-controller/src/core/shard_sync.rs
@@ -0,0 +1,323 @@
+//! What runs in each block, as its record says, taken over into the copy.
+
+use super::{Core, Shard};
+use crate::jobs::{Job, Placed, Stop, TaskId};
+use crate::ranges::Ranges;
+use crate::records::{ShardId, ShardRecord, Span};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// A task that a shard's record has on a machine.
+struct Arrival {
+    task: TaskId,
+    machine: Arc<str>,
+    attempt: u64,
+    session: u64,
+}
+
+/// How a shard's new record differs from what is known of its machines.
+#[derive(Default)]
+struct ShardDifference {
+    /// Tasks that the record no longer has.
+    departed: Vec<(TaskId, Placed)>,
+    /// Tasks on machines whose spans have changed.
+    arrived: Vec<Arrival>,
+}
+
+impl Core {
+    /// Brings what runs in a block up to a shard's record. Only machines whose
+    /// spans changed are looked at.
+    pub(super) fn apply_shard(
+        &mut self,
+        id: ShardId,
+        record: ShardRecord,
+        size: usize,
+        version: u64,
+        now: Instant,
+    ) {
+        let old = self.shards.remove(&id).unwrap_or_default();
+        let difference = self.shard_difference(id, &old.record, &record);
+        // First what has left, then what has come: a task may have moved.
+        let mut jobs = self.remove_departed(difference.departed);
+        jobs.extend(self.add_arrived(id, version, difference.arrived, now));
+        jobs.extend(self.jobs_with_history(&old.record, &record));
+        for job in &jobs {
+            self.take_history(job, id, &record);
+        }
+        if size > 0 {
+            let weight = super::shards::weight(&record);
+            self.shards.insert(id, Shard { record, version, size, weight });
+        }
+        if self.is_holder(id.block) && id.shard.is_some() && !self.absorbs(id) {
+            self.follow_shard(id);
+        }
+        for job in &jobs {
+            self.rederive(job);
+            self.finish_if_over(job);
+        }
+        self.wakeups.place = true;
+    }
+
+    fn shard_difference(&self, id: ShardId, old: &ShardRecord, new: &ShardRecord) -> ShardDifference {
+        let (before, mut after) = (tasks_of(old), tasks_of(new));
+        // Shards speak for their machines, whatever a whole block's record says.
+        let elsewhere =
+            |machine: &str| id.shard.is_none() && self.recorded_shard(id.block, machine).is_some();
+        after.retain(|machine, _| !elsewhere(machine));
+        let names: BTreeSet<&str> = before.keys().chain(after.keys()).copied().collect();
+        let mut difference = ShardDifference::default();
+        for name in names {
+            let spans = after.get(name).map(Vec::as_slice).unwrap_or_default();
+            let unchanged = before.get(name).is_some_and(|old| same_tasks(old, spans));
+            if unchanged || elsewhere(name) {
+                continue;
+            }
+            self.compare_machine(id, name, spans, &mut difference);
+        }
+        difference
+    }
+
+    /// Adds to a difference what a record says of one machine.
+    fn compare_machine(
+        &self,
+        id: ShardId,
+        name: &str,
+        spans: &[(&str, Span)],
+        difference: &mut ShardDifference,
+    ) {
+        let machine: Arc<str> = name.into();
+        let mut there: BTreeMap<TaskId, (u64, u64)> = BTreeMap::new();
+        for (job_id, span) in spans {
+            let Some((job_id, Job::Open(job))) = self.jobs.get_key_value(*job_id) else { continue };
+            for index in span.first..=span.last.min(job.record.tasks.saturating_sub(1)) {
+                there.insert(TaskId { job: job_id.clone(), index }, (span.attempt, span.session));
+            }
+        }
+        for task in self.machines.get(&machine).iter().flat_map(|known| &known.tasks) {
+            let Some(placed) = self.open_job(&task.job).and_then(|j| j.placed.get(&task.index)) else {
+                continue;
+            };
+            let stays = there.get(task).is_some_and(|(attempt, _)| *attempt == placed.attempt);
+            // What another shard has is for that one to say, unless this one takes
+            // over from a record of the first layout.
+            let whole = ShardId::whole(id.block);
+            let own = placed.home == id || (placed.home == whole && id.shard.is_some());
+            if placed.committed && own && !stays {
+                difference.departed.push((task.clone(), placed.clone()));
+            }
+        }
+        difference.arrived.extend(there.into_iter().map(|(task, (attempt, session))| Arrival {
+            task,
+            machine: machine.clone(),
+            attempt,
+            session,
+        }));
+    }
+
+    /// Takes tasks off their machines; returns their jobs.
+    fn remove_departed(&mut self, departed: Vec<(TaskId, Placed)>) -> BTreeSet<Arc<str>> {
+        let mut jobs = BTreeSet::new();
+        for (task, placed) in departed {
+            let Some(job) = self.open_job_mut(&task.job) else { continue };
+            job.placed.remove(&task.index);
+            job.exits.remove(&task.index);
+            let amounts = job.need.amounts;
+            self.unbook(&task, &placed, amounts);
+            jobs.insert(task.job);
+        }
+        jobs
+    }
+
+    /// Puts tasks on the machines on which a shard's record has them; returns
+    /// their jobs.
+    fn add_arrived(
+        &mut self,
+        id: ShardId,
+        version: u64,
+        arrived: Vec<Arrival>,
+        now: Instant,
+    ) -> BTreeSet<Arc<str>> {
+        let mut jobs = BTreeSet::new();
+        for arrival in arrived {
+            jobs.insert(arrival.task.job.clone());
+            if self.is_newer_elsewhere(id, version, &arrival.task) {
+                continue;
+            }
+            let machine = arrival.machine.clone();
+            if self.add_task(id, arrival, now) && self.is_holder(id.block) {
+                self.wakeups.command.insert(machine);
+            }
+        }
+        jobs
+    }
+
+    /// Whether another shard's newer record has a task. Single keys are read ahead
+    /// of the watch, and own commits are known at once, so it may be known by now.
+    /// At no time do two records have a task, so the newer one is right. Taken
+    /// over, the older one would hide the other's task until its own next version
+    /// drops it, and the task would seem to wait.
+    fn is_newer_elsewhere(&self, id: ShardId, version: u64, task: &TaskId) -> bool {
+        let known = self.open_job(&task.job).and_then(|j| j.placed.get(&task.index));
+        let other = known.filter(|p| p.committed && p.home != id);
+        other.and_then(|p| self.shards.get(&p.home)).is_some_and(|shard| shard.version > version)
+    }
+
+    /// Puts one task on its machine; `false`: its job is over.
+    fn add_task(&mut self, id: ShardId, arrival: Arrival, now: Instant) -> bool {
+        let Arrival { task, machine, attempt, session } = arrival;
+        let Some(job) = self.open_job_mut(&task.job) else { return false };
+        let stop = (!job.is_open()).then_some(Stop::Withdrawn);
+        if let Some(placed) = job.placed.get_mut(&task.index)
+            && placed.attempt == attempt
+            && placed.machine == machine
+        {
+            if !placed.committed {
+                placed.committed = true;
+                placed.since = now;
+            }
+            // The same may have been proposed here, in an earlier session of the
+            // worker, and committed by another holder since: a session older than
+            // the record's would later pass for proof that the task is gone.
+            placed.session = session;
+            placed.home = id;
+            placed.stop = stop.or(placed.stop);
+            return true;
+        }
+        let placed = Placed {
+            attempt,
+            machine: machine.clone(),
+            home: id,
+            session,
+            committed: true,
+            since: now,
+            running: None,
+            sent: 0,
+            stop,
+            freed: false,
+        };
+        let amounts = job.need.amounts;
+        // A proposal of this process may have lost against the record.
+        if let Some(lost) = job.placed.insert(task.index, placed) {
+            self.unbook(&task, &lost, amounts);
+        }
+        self.book(&task, &machine, id.block, now);
+        true
+    }
+
+    /// Open jobs whose completed tasks or last attempts may differ between two
+    /// records.
+    fn jobs_with_history(&self, old: &ShardRecord, new: &ShardRecord) -> BTreeSet<Arc<str>> {
+        let done = old.done.keys().chain(new.done.keys());
+        let done = done.filter(|job| ranges_of(&new.done, job) != ranges_of(&old.done, job));
+        let tries = old.tries.keys().chain(new.tries.keys());
+        let known = |id: &String| match self.jobs.get_key_value(id.as_str()) {
+            Some((id, Job::Open(_))) => Some(id.clone()),
+            _ => None,
+        };
+        done.chain(tries).filter_map(known).collect()
+    }
+
+    /// Takes over what a shard's record says of a job's completed tasks and last
+    /// attempts.
+    fn take_history(&mut self, job_id: &str, id: ShardId, record: &ShardRecord) {
+        let Some(job) = self.open_job_mut(job_id) else { return };
+        let done = ranges_of(&record.done, job_id);
+        if done.is_empty() {
+            job.done_in.remove(&id);
+        } else {
+            job.done_in.insert(id, done);
+        }
+        match record.tries.get(job_id) {
+            Some(tries) => job.tries.insert(id, tries.clone()),
+            None => job.tries.remove(&id),
+        };
+        let placed = &job.placed;
+        job.exits.retain(|index, exit| placed.get(index).is_some_and(|p| p.attempt == exit.attempt));
+    }
+
+    /// A block's record can be known before a job that runs there, when it was
+    /// read by itself or keys were read page by page: what it says of the job is
+    /// taken over once the job is known. Else its tasks would seem to wait, and
+    /// be started a second time.
+    pub(super) fn reapply_shards(&mut self, id: &Arc<str>, now: Instant) {
+        let known: Vec<ShardId> = self
+            .shards
+            .iter()
+            .filter(|(_, shard)| {
+                let r = &shard.record;
+                r.jobs.iter().any(|j| **j == **id)
+                    || r.done.contains_key(&**id)
+                    || r.tries.contains_key(&**id)
+            })
+            .map(|(shard, _)| *shard)
+            .collect();
+        for shard in known {
+            if let Some(load) = self.shards.remove(&shard) {
+                self.apply_shard(shard, load.record, load.size, load.version, now);
+            }
+        }
+    }
+
+    /// Tasks that two records have, and those that a record has on a machine and
+    /// this copy does not: none, unless another's newer record has them. For tests, and for
+    /// when a copy is in doubt; it goes over all that runs.
+    pub fn copy_faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        let mut seen: BTreeMap<(&str, u32), ShardId> = BTreeMap::new();
+        for (shard, load) in &self.shards {
+            for (machine, spans) in tasks_of(&load.record) {
+                if shard.shard.is_none() && self.recorded_shard(shard.block, machine).is_some() {
+                    continue;
+                }
+                for (id, span) in spans {
+                    let Some(job) = self.open_job(id) else { continue };
+                    for index in span.first..=span.last {
+                        if let Some(other) = seen.insert((id, index), *shard).filter(|o| o != shard) {
+                            faults.push(format!("{id}/{index} is in {other:?} and in {shard:?}"));
+                        }
+                        let placed = job.placed.get(&index);
+                        let here = |p: &Placed| p.attempt == span.attempt && *p.machine == *machine;
+                        let moved = |p: &Placed| {
+                            let other = self.shards.get(&p.home).filter(|_| p.home != *shard);
+                            other.is_some_and(|l| l.version > load.version)
+                        };
+                        if !placed.is_some_and(|p| here(p) || moved(p)) {
+                            faults
+                                .push(format!("{id}/{index} is on {machine} ({shard:?}), known: {placed:?}"));
+                        }
+                    }
+                }
+            }
+        }
+        faults
+    }
+}
+
+/// All tasks of a record's spans.
+fn tasks_of(record: &ShardRecord) -> BTreeMap<&str, Vec<(&str, Span)>> {
+    record
+        .machines
+        .iter()
+        .map(|(machine, spans)| {
+            let named =
+                spans.iter().filter_map(|s| Some((record.jobs.get(s.job as usize)?.as_str(), *s))).collect();
+            (machine.as_str(), named)
+        })
+        .collect()
+}
+
+/// Whether spans name the same tasks; a job's position among the record's names
+/// may differ.
+fn same_tasks(old: &[(&str, Span)], new: &[(&str, Span)]) -> bool {
+    let same = |((old_job, a), (new_job, b)): (&(&str, Span), &(&str, Span))| {
+        let range = |span: &Span| (span.first, span.last, span.attempt, span.session);
+        old_job == new_job && range(a) == range(b)
+    };
+    old.len() == new.len() && old.iter().zip(new).all(same)
+}
+
+/// Ranges of a record, or none.
+fn ranges_of(map: &BTreeMap<String, Ranges>, id: &str) -> Ranges {
+    map.get(id).cloned().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/dapplecroft-controller/src/core/testing.rs
@@ -0,0 +1,45 @@
+//! What the tests of this module have in common.
+
+use super::Core;
+use crate::jobs::Placed;
+use crate::options::Options;
+use crate::records::ShardId;
+use dapplecroft_wire::settings::Settings;
+use serde_json::{Value, json};
+use std::time::Instant;
+
+/// A core of a controller with one team and no records.
+pub(super) fn core() -> Core {
+    let settings = json!({"host_name": "c-0", "listen": "10.0.0.1:1", "back": "10.0.0.1:2",
+        "external": {"cloud": "10.0.0.2:1", "state": "10.0.0.2:2"},
+        "facts": {"nodes": 1, "teams": [{"name": "t"}],
+            "workers": {"report_s": 3.0, "lease_s": 27.0, "cancel_s": 47.0},
+            "state": {"rps": 100.0, "write_rps": 20.0, "value_kb": 8.0, "txn_ops": 12},
+            "cloud": {"rps": 5.0, "list_lag_s": 8.0}}});
+    let settings = Settings::parse(&settings.to_string()).unwrap();
+    Core::new(settings.into(), Options::default(), "p".into())
+}
+
+/// The record of an open job, as the first layout wrote it, with tasks of one
+/// CPU and what is admitted of them to each block.
+pub(super) fn job_record(id: &str, tasks: u32, admitted: Value) -> Value {
+    json!({"stage": "open", "tasks": tasks, "to": admitted, "spec": {"id": id, "lane": "c", "crew": "t",
+        "form": "sweep", "rank": "normal", "shares": tasks, "cpus": 1.0, "gpus": 0.0, "memory_gb": 1.0,
+        "reckon_s": 10.0}})
+}
+
+/// A task that is proposed for a machine in a shard.
+pub(super) fn proposed(machine: &str, shard: ShardId, attempt: u64, since: Instant) -> Placed {
+    Placed {
+        attempt,
+        machine: machine.into(),
+        home: shard,
+        session: 1,
+        committed: false,
+        since,
+        running: None,
+        sent: 0,
+        stop: None,
+        freed: false,
+    }
+}
--- a/crates/dapplecroft-controller/src/core/units.rs
+++ b/crates/dapplecroft-controller/src/core/units.rs
@@ -1,12 +1,14 @@
-//! What records become: a part of what runs, a job, and what is to be dropped.
+//! What records become: a shard of what runs, a job, and what is to be dropped.
 
 use super::Core;
 use super::layout::to_value;
-use super::parts::Scale;
+use super::shards::Scale;
 use crate::jobs::{OpenJob, Placed, TaskId};
 use crate::machines::Machine;
 use crate::ranges::Ranges;
-use crate::records::{self, FoldRecord, JobRecord, JobStage, LoadRecord, PartId, Span, stored_size};
+use crate::records::{
+    self, CompletedTasksRecord, JobRecord, JobStage, ShardId, ShardRecord, Span, stored_size,
+};
 use dapplecroft_state::Unit;
 use dapplecroft_wire::state::{Change, Condition};
 use std::collections::{BTreeSet, HashMap};
@@ -17,19 +19,19 @@
 /// much of a value's limit: what is left is for the ends of what is placed.
 const SPARE: f64 = 0.7;
 /// Bytes of a record of completed tasks.
-const FOLD: usize = 900;
+const COMPLETED_RECORD_BYTES: usize = 900;
 
 impl Core {
-    /// What of a part's completed tasks and last attempts is still of use, with
+    /// What of a shard's completed tasks and last attempts is still of use, with
     /// what it takes over from a record of the first layout.
-    fn carried(&self, id: PartId) -> LoadRecord {
-        let mut record = LoadRecord::default();
-        let old = self.loads.get(&id).map(|l| (&l.record.done, &l.record.tries));
+    fn carried(&self, id: ShardId) -> ShardRecord {
+        let mut record = ShardRecord::default();
+        let old = self.shards.get(&id).map(|l| (&l.record.done, &l.record.tries));
         let inherited = self.inherited.get(&id).map(|i| (&i.done, &i.tries));
         for (done, tries) in old.into_iter().chain(inherited) {
             for (job_id, ranges) in done {
                 let Some(job) = self.open_job(job_id).filter(|j| j.is_open()) else { continue };
-                let left = ranges.without(&job.folded());
+                let left = ranges.without(&job.recorded_done());
                 if !left.is_empty() {
                     let all = record.done.entry(job_id.clone()).or_default();
                     *all = all.union(&left);
@@ -52,17 +54,17 @@
         record
     }
 
-    /// The record of what runs in a part, with the ends and proposals of its
+    /// The record of what runs in a shard, with the ends and proposals of its
     /// holder; and the proposals in it.
     ///
     /// A record that was written before limits were as they are can have more on
     /// one machine than could be cut into pieces within them. Then as many ends
     /// are taken in at a time as fit; neighbours that have ended join again.
-    fn new_load(&self, id: PartId) -> (LoadRecord, Vec<(TaskId, Placed)>) {
+    fn next_shard_record(&self, id: ShardId) -> (ShardRecord, Vec<(TaskId, Placed)>) {
         let (mut ends, mut most) = (usize::MAX, usize::MAX);
         loop {
-            let (record, proposals, taken) = self.load_with(id, ends, most);
-            let fits = stored_size(&self.load_value(id, &record)) <= self.limits().value;
+            let (record, proposals, taken) = self.shard_record_with(id, ends, most);
+            let fits = stored_size(&self.shard_value(id, &record)) <= self.limits().value;
             if fits || (taken == 0 && proposals.is_empty()) {
                 return (record, proposals);
             }
@@ -76,12 +78,12 @@
 
     /// The same with the first so many ends and proposals; and how many ends
     /// there were.
-    pub(super) fn load_with(
+    pub(super) fn shard_record_with(
         &self,
-        id: PartId,
+        id: ShardId,
         ends: usize,
         most: usize,
-    ) -> (LoadRecord, Vec<(TaskId, Placed)>, usize) {
+    ) -> (ShardRecord, Vec<(TaskId, Placed)>, usize) {
         let limits = self.limits();
         let mut taken = 0;
         let most_jobs = limits.changes * 3;
@@ -89,8 +91,9 @@
         let mut proposals = Vec::new();
         let mut names: HashMap<Arc<str>, u32> = HashMap::new();
         let mut waiting: Vec<(u8, Instant, TaskId, Placed)> = Vec::new();
-        let whole = id.part.is_none();
-        let here = |m: &&Machine| m.block == id.block && (whole || m.part == id.part) && !m.tasks.is_empty();
+        let whole = id.shard.is_none();
+        let here =
+            |m: &&Machine| m.block == id.block && (whole || m.shard == id.shard) && !m.tasks.is_empty();
         for machine in self.machines.values().filter(here) {
             for task in &machine.tasks {
                 let Some(job) = self.open_job(&task.job) else { continue };
@@ -144,33 +147,34 @@
         (record, proposals, taken)
     }
 
-    /// What is to be committed of a part, with what is proposed in it.
-    pub(super) fn part_unit(&self, id: PartId) -> Option<(Unit, Vec<(TaskId, Placed)>)> {
+    /// What is to be committed of a shard, with what is proposed in it.
+    pub(super) fn shard_unit(&self, id: ShardId) -> Option<(Unit, Vec<(TaskId, Placed)>)> {
         // A stale holder can commit nothing, hence start nothing.
-        let holding = self.role.holdings.get(&id.block)?;
-        let mut conditions = vec![Condition { key: records::block_key(id.block), version: holding.version }];
+        let block_lease = self.role.leased_blocks.get(&id.block)?;
+        let mut conditions =
+            vec![Condition { key: records::block_key(id.block), version: block_lease.version }];
         let key = id.key();
-        let old = self.loads.get(&id);
+        let old = self.shards.get(&id);
         conditions.push(Condition { key: key.clone(), version: old.map_or(0, |o| o.version) });
-        if !self.is_mixed() && id.part.is_none() {
-            // Never written again: dropped once parts have all of it.
+        if !self.is_mixed() && id.shard.is_none() {
+            // Never written again: dropped once shards have all of it.
             let moved = old.is_some() && self.is_moved(id.block);
             let changes = vec![Change::Drop { key }];
             return moved.then_some((Unit { conditions, changes }, Vec::new()));
         }
-        let (record, proposals) = self.new_load(id);
-        if old.is_some_and(|o| o.record == record) || (old.is_none() && record == LoadRecord::default()) {
+        let (record, proposals) = self.next_shard_record(id);
+        if old.is_some_and(|o| o.record == record) || (old.is_none() && record == ShardRecord::default()) {
             return None;
         }
-        if let Some(whole) = self.loads.get(&PartId::whole(id.block)).filter(|_| id.part.is_some()) {
-            // No late write of it may come between this part and its being dropped.
-            conditions.push(Condition { key: PartId::whole(id.block).key(), version: whole.version });
+        if let Some(whole) = self.shards.get(&ShardId::whole(id.block)).filter(|_| id.shard.is_some()) {
+            // No late write of it may come between this shard and its being dropped.
+            conditions.push(Condition { key: ShardId::whole(id.block).key(), version: whole.version });
         }
         let jobs: BTreeSet<&Arc<str>> = proposals.iter().map(|(t, _)| &t.job).collect();
         for id in jobs {
             conditions.push(Condition { key: records::job_key(id), version: self.open_job(id)?.version });
         }
-        let changes = vec![Change::Set { key, value: self.load_value(id, &record), lease: None }];
+        let changes = vec![Change::Set { key, value: self.shard_value(id, &record), lease: None }];
         Some((Unit { conditions, changes }, proposals))
     }
 
@@ -188,8 +192,14 @@
             job.record.compact(JobStage::Withdrawn, done)
         } else {
             // What was admitted where is of no use any more, and may be long.
-            let (admitted, folded) = Default::default();
-            JobRecord { stage: JobStage::Withdrawn, done: Some(done), admitted, folded, ..job.record.clone() }
+            let (admitted, legacy_done) = Default::default();
+            JobRecord {
+                stage: JobStage::Withdrawn,
+                done: Some(done),
+                admitted,
+                legacy_done,
+                ..job.record.clone()
+            }
         };
         Some((record, job.version))
     }
@@ -221,20 +231,20 @@
             return None;
         }
         let mut changes = Vec::new();
-        if !self.is_mixed() && record.spec.is_some() && !record.folded.is_empty() {
+        if !self.is_mixed() && record.spec.is_some() && !record.legacy_done.is_empty() {
             // A record of the second layout has no completed tasks: they get
             // records of their own first, or with it if one transaction will do.
-            let folds = self.missing_folds(id, job);
+            let completed_records = self.missing_completed_records(id, job);
             let most = self.limits().changes;
-            let all = folds.len() < most;
-            for (key, fold) in folds.into_iter().take(if all { most } else { most.min(8) }) {
+            let all = completed_records.len() < most;
+            for (key, fold) in completed_records.into_iter().take(if all { most } else { most.min(8) }) {
                 conditions.push(Condition { key: key.clone(), version: self.version(&key) });
                 changes.push(Change::Set { key, value: to_value(&fold), lease: None });
             }
             if !all {
                 return Some((Unit { conditions, changes }, Vec::new()));
             }
-            record.folded = Default::default();
+            record.legacy_done = Default::default();
         }
         changes.push(Change::Set { key: records::job_key(id), value: self.job_value(&record), lease: None });
         Some((Unit { conditions, changes }, Vec::new()))
@@ -242,12 +252,15 @@
 
     /// Records of completed tasks that a job's record of the first layout names
     /// and no record of its own has yet.
-    fn missing_folds(&self, id: &str, job: &OpenJob) -> Vec<(String, FoldRecord)> {
-        let have = job.folds.values().fold(Default::default(), |all: Ranges, f| all.union(f));
-        let left = job.record.folded.without(&have);
-        let numbers = (0..).filter(|n| !job.folds.contains_key(n));
-        let parts = left.chunks(FOLD);
-        numbers.zip(parts).map(|(n, done)| (records::fold_key(id, n), FoldRecord { done })).collect()
+    fn missing_completed_records(&self, id: &str, job: &OpenJob) -> Vec<(String, CompletedTasksRecord)> {
+        let have = job.completed_records.values().fold(Default::default(), |all: Ranges, f| all.union(f));
+        let left = job.record.legacy_done.without(&have);
+        let numbers = (0..).filter(|n| !job.completed_records.contains_key(n));
+        let pieces = left.chunks(COMPLETED_RECORD_BYTES);
+        numbers
+            .zip(pieces)
+            .map(|(n, done)| (records::completed_tasks_key(id, n), CompletedTasksRecord { done }))
+            .collect()
     }
 
     /// A job's record with this leader's decisions. While the first layout is in
@@ -267,7 +280,7 @@
             }
         }
         if self.is_mixed() {
-            record.folded = record.folded.union(&job.done);
+            record.legacy_done = record.legacy_done.union(&job.done);
         }
         for admitted in record.admitted.values_mut() {
             *admitted = admitted.without(&job.done);
@@ -279,7 +292,7 @@
         record
     }
 
-    pub(super) fn litter_unit(&self, key: &str) -> Option<(Unit, Vec<(TaskId, Placed)>)> {
+    pub(super) fn obsolete_key_unit(&self, key: &str) -> Option<(Unit, Vec<(TaskId, Placed)>)> {
         let version = self.version(key);
         let conditions = vec![
             Condition { key: records::LEADER.into(), version: self.role.leadership? },
@@ -292,12 +305,12 @@
     /// Whether a block's one record of the first layout has no room for more.
     pub(super) fn is_record_full(&self, block: u32) -> bool {
         let limit = self.limits().value as f64 * SPARE;
-        self.is_mixed() && self.loads.get(&PartId::whole(block)).is_some_and(|l| l.size as f64 > limit)
+        self.is_mixed() && self.shards.get(&ShardId::whole(block)).is_some_and(|l| l.size as f64 > limit)
     }
 }
 
 /// Adds a task to a record of what runs.
-fn add_task(record: &mut LoadRecord, names: &mut HashMap<Arc<str>, u32>, task: &TaskId, p: &Placed) {
+fn add_task(record: &mut ShardRecord, names: &mut HashMap<Arc<str>, u32>, task: &TaskId, p: &Placed) {
     let jobs = &mut record.jobs;
     let job = *names.entry(task.job.clone()).or_insert_with(|| {
         jobs.push(task.job.to_string());
--- a/crates/dapplecroft-controller/src/jobs.rs
+++ b/crates/dapplecroft-controller/src/jobs.rs
@@ -1,7 +1,7 @@
 //! Jobs as the records say, with what a block holder knows besides.
 
 use crate::ranges::Ranges;
-use crate::records::{JobRecord, JobStage, PartId};
+use crate::records::{JobRecord, JobStage, ShardId};
 use dapplecroft_sched::{Amounts, Need};
 use dapplecroft_wire::users::{JobSpec, JobStatus, Rank, Stage};
 use std::collections::{BTreeMap, BTreeSet};
@@ -52,8 +52,8 @@
     pub attempt: u64,
     /// The machine.
     pub machine: Arc<str>,
-    /// The part of its block in whose record it is, or will be.
-    pub home: PartId,
+    /// The shard of its block in whose record it is, or will be.
+    pub home: ShardId,
     /// The worker's session that it was placed in.
     pub session: u64,
     /// Whether the record is committed; nothing is commanded before.
@@ -92,11 +92,11 @@
     /// What each task needs.
     pub need: Arc<Need>,
     /// Completed tasks by the record of a block in which they are.
-    pub done_in: BTreeMap<PartId, Ranges>,
+    pub done_in: BTreeMap<ShardId, Ranges>,
     /// Completed tasks that records of their own have.
-    pub folds: BTreeMap<u32, Ranges>,
+    pub completed_records: BTreeMap<u32, Ranges>,
     /// Last attempts of tasks that ended unfinished, by the record they are in.
-    pub tries: BTreeMap<PartId, BTreeMap<u32, u64>>,
+    pub tries: BTreeMap<ShardId, BTreeMap<u32, u64>>,
     /// Tasks on machines or proposed.
     pub placed: BTreeMap<u32, Placed>,
     /// Completed tasks.
@@ -160,7 +160,7 @@
             spec,
             need: Arc::new(need),
             done_in: BTreeMap::new(),
-            folds: BTreeMap::new(),
+            completed_records: BTreeMap::new(),
             tries: BTreeMap::new(),
             placed: BTreeMap::new(),
             done: Ranges::default(),
@@ -185,7 +185,7 @@
     /// Works out, from records and proposals, which tasks are done and which
     /// wait where.
     pub fn derive(&mut self) {
-        let mut done = self.folded();
+        let mut done = self.recorded_done();
         for own in self.done_in.values() {
             done = done.union(own);
         }
@@ -219,14 +219,14 @@
     }
 
     /// Completed tasks that no block's record needs to have.
-    pub fn folded(&self) -> Ranges {
-        self.folds.values().fold(self.record.folded.clone(), |all, own| all.union(own))
+    pub fn recorded_done(&self) -> Ranges {
+        self.completed_records.values().fold(self.record.legacy_done.clone(), |all, own| all.union(own))
     }
 
     /// Whether a last attempt in a record says nothing any more, since another
     /// record has a later one. Replicas run again for ever: what they have been
     /// through must not gather.
-    pub fn outdates(&self, home: PartId, index: u32, attempt: u64) -> bool {
+    pub fn outdates(&self, home: ShardId, index: u32, attempt: u64) -> bool {
         let later = |p: &Placed| p.committed && p.attempt > attempt;
         self.placed.get(&index).is_some_and(later)
             || self.tries.iter().any(|(id, t)| *id != home && t.get(&index).is_some_and(|n| *n > attempt))
@@ -237,6 +237,11 @@
         self.spec.is_service()
     }
 
+    /// Whether the zones of its tasks depend on each other.
+    pub fn is_constrained(&self) -> bool {
+        self.spec.one_zone || self.spec.spread
+    }
+
     /// How many tasks count against the team: all that are admitted and not
     /// done, since a holder may have them running; of a withdrawn job, those
     /// not proven to have left their machines.
--- a/crates/dapplecroft-controller/src/legacy.rs
+++ b/crates/dapplecroft-controller/src/legacy.rs
@@ -12,7 +12,7 @@
 //! variant is logged as unreadable and not acted upon.
 
 use crate::ranges::Ranges;
-use crate::records::{GroupRecord, JobRecord, JobStage, LoadRecord, MemberRecord, Span};
+use crate::records::{GroupRecord, JobRecord, JobStage, MemberRecord, ShardRecord, Span};
 use dapplecroft_wire::users::JobSpec;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -27,8 +27,8 @@
     tasks: u32,
     #[serde(rename = "to", default, skip_serializing_if = "BTreeMap::is_empty")]
     admitted: BTreeMap<u32, Pieces>,
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    folded: Pieces,
+    #[serde(rename = "folded", default, skip_serializing_if = "Vec::is_empty")]
+    legacy_done: Pieces,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     done: Option<u32>,
     #[serde(default)]
@@ -91,7 +91,7 @@
         stage: old.stage,
         tasks: old.tasks,
         admitted: old.admitted.into_iter().map(|(b, p)| (b, Ranges::from_pieces(p))).collect(),
-        folded: Ranges::from_pieces(old.folded),
+        legacy_done: Ranges::from_pieces(old.legacy_done),
         done: old.done,
         at: old.at,
         spec: old.spec,
@@ -104,7 +104,7 @@
         stage: job.stage,
         tasks: job.tasks,
         admitted: job.admitted.iter().map(|(b, r)| (*b, pieces(r))).collect(),
-        folded: pieces(&job.folded),
+        legacy_done: pieces(&job.legacy_done),
         done: job.done,
         at: job.at,
         spec: job.spec.clone(),
@@ -112,7 +112,7 @@
 }
 
 /// What runs in a whole block.
-pub fn read_load(value: Value) -> Result<LoadRecord, Error> {
+pub fn read_shard(value: Value) -> Result<ShardRecord, Error> {
     let old: OldLoad = serde_json::from_value(value)?;
     let mut machines = BTreeMap::new();
     for (machine, spans) in old.machines {
@@ -120,7 +120,7 @@
         let spans = spans.ok_or_else(|| serde::de::Error::custom("unreadable tasks"))?;
         machines.insert(machine, spans);
     }
-    Ok(LoadRecord {
+    Ok(ShardRecord {
         jobs: old.jobs,
         machines,
         done: old.done.into_iter().map(|(id, p)| (id, Ranges::from_pieces(p))).collect(),
@@ -129,7 +129,7 @@
 }
 
 /// What runs in a whole block, as the first version reads it.
-pub fn write_load(load: &LoadRecord) -> Value {
+pub fn write_shard(load: &ShardRecord) -> Value {
     let spans = |spans: &Vec<Span>| spans.iter().map(write_span).collect();
     value(&OldLoad {
         jobs: load.jobs.clone(),
--- a/crates/dapplecroft-controller/src/legacy/tests.rs
+++ b/crates/dapplecroft-controller/src/legacy/tests.rs
@@ -11,7 +11,7 @@
     for (key, value) in written {
         let (again, kind) = match key.split('/').nth(1) {
             Some("j") => (write_job(&read_job(value.clone()).unwrap()), 0),
-            Some("p") => (write_load(&read_load(value.clone()).unwrap()), 1),
+            Some("p") => (write_shard(&read_shard(value.clone()).unwrap()), 1),
             Some("m") => (write_group(&read_group(value.clone()).unwrap()), 2),
             _ => continue,
         };
@@ -32,12 +32,22 @@
     assert_eq!(read_job(new).unwrap(), record);
 }
 
+// The name of a stored field is not that of the code: no value of the first
+// version that is kept here has it, so that a rename once went unnoticed.
+#[test]
+fn completed_tasks_keep_their_stored_name() {
+    let old = json!({"stage": "open", "tasks": 4, "folded": [[0, 1]], "at": 5.0});
+    let record = read_job(old.clone()).unwrap();
+    assert_eq!(record.legacy_done.len(), 2);
+    assert_eq!(write_job(&record), old);
+}
+
 #[test]
 fn spans_of_the_first_layout_are_as_short_as_they_can_be() {
     for text in ["[3,7]", "[3,7,9]", "[3,7,7,2]", "[3,7,9,1,4]"] {
         let numbers: Vec<u64> = serde_json::from_str(text).unwrap();
         assert_eq!(write_span(&read_span(&numbers).unwrap()), numbers);
     }
-    assert!(read_load(json!({"m": {"i-1": [[3]]}})).is_err());
-    assert!(read_load(json!({"m": {"i-1": [[3, 4294967296u64]]}})).is_err());
+    assert!(read_shard(json!({"m": {"i-1": [[3]]}})).is_err());
+    assert!(read_shard(json!({"m": {"i-1": [[3, 4294967296u64]]}})).is_err());
 }
--- a/crates/dapplecroft-controller/src/loops/election.rs
+++ b/crates/dapplecroft-controller/src/loops/election.rs
@@ -23,16 +23,16 @@
     /// Nothing else is done in this loop: on a busy node every wait takes long,
     /// and the lease must not end of that.
     pub(crate) async fn beat_loop(self: Arc<Self>) {
-        let beat = self.options.node_lease / 4;
+        let heartbeat_interval = self.options.node_lease / 4;
         while !self.with(|core| core.loaded) {
-            let _ = timeout(beat / 4, self.wake_beat.notified()).await;
+            let _ = timeout(heartbeat_interval / 4, self.wake_heartbeat.notified()).await;
         }
         loop {
             let begun = now();
             let ok = self.touch().await;
-            let pause = if ok { beat } else { beat / 4 };
+            let pause = if ok { heartbeat_interval } else { heartbeat_interval / 4 };
             let left = pause.saturating_sub(now().saturating_duration_since(begun));
-            let _ = timeout(left.max(beat / 20), self.wake_beat.notified()).await;
+            let _ = timeout(left.max(heartbeat_interval / 20), self.wake_heartbeat.notified()).await;
         }
     }
 
@@ -40,7 +40,7 @@
     /// leased, and as leader leases blocks.
     pub(crate) async fn role_loop(self: Arc<Self>) {
         let mut random = StdRng::seed_from_u64(self.seed);
-        let beat = self.options.node_lease / 4;
+        let heartbeat_interval = self.options.node_lease / 4;
         loop {
             if self.with(|core| core.loaded) {
                 self.stand(&mut random).await;
@@ -48,7 +48,7 @@
                 self.take_up().await;
                 self.lease_blocks().await;
             }
-            let _ = timeout(beat, self.wake_role.notified()).await;
+            let _ = timeout(heartbeat_interval, self.wake_role.notified()).await;
         }
     }
 
@@ -202,11 +202,11 @@
     /// records has caught up, and has it confirmed at once.
     async fn take_up(&self) {
         let changed = self.with(|core| {
-            let before = (core.role.holdings.len(), core.leads(now()));
+            let before = (core.role.leased_blocks.len(), core.leads(now()));
             core.begin_to_lead(now());
             core.take_blocks(now());
             core.role.contact.is_none() && core.has_role()
-                || before != (core.role.holdings.len(), core.leads(now()))
+                || before != (core.role.leased_blocks.len(), core.leads(now()))
         });
         if changed {
             self.set_rates();
@@ -292,13 +292,13 @@
     /// Watches whether this node has lost the state service, and whether it is
     /// alone in that: then a peer answers its users.
     pub(crate) async fn health_loop(self: Arc<Self>) {
-        let beat = self.options.node_lease / 4;
+        let heartbeat_interval = self.options.node_lease / 4;
         loop {
-            sleep(beat / 2).await;
+            sleep(heartbeat_interval / 2).await;
             let age = self.state_age();
             let loaded = self.with(|core| core.loaded);
-            let lost = !loaded || age.is_none_or(|a| a > beat.mul_f64(1.6));
-            let fresh = if lost { self.fresh_peer(age, beat).await } else { None };
+            let lost = !loaded || age.is_none_or(|a| a > heartbeat_interval.mul_f64(1.6));
+            let fresh = if lost { self.fresh_peer(age, heartbeat_interval).await } else { None };
             self.shared_outage.store(lost && fresh.is_none(), Ordering::Relaxed);
             let before = std::mem::replace(&mut *lock(&self.helper), fresh);
             if before.is_some() != fresh.is_some() {
@@ -309,12 +309,13 @@
 
     /// A peer that has been in contact with the state service since this node
     /// was: in an outage that all share, nodes notice at about the same time.
-    async fn fresh_peer(&self, age: Option<Duration>, beat: Duration) -> Option<usize> {
+    async fn fresh_peer(&self, age: Option<Duration>, heartbeat_interval: Duration) -> Option<usize> {
         let sights = self.settings.peers.iter().map(|peer| {
             let (peers, peer) = (self.peers.clone(), peer.clone());
             tokio::spawn(async move { peers.sight(&peer).await })
         });
-        let limit = age.unwrap_or(Duration::MAX).saturating_sub(beat).min(beat * 2);
+        let limit =
+            age.unwrap_or(Duration::MAX).saturating_sub(heartbeat_interval).min(heartbeat_interval * 2);
         let mut best = None;
         for (n, sight) in sights.collect::<Vec<_>>().into_iter().enumerate() {
             if let Ok(Some(sight)) = sight.await
--- a/crates/dapplecroft-controller/src/loops/fleet.rs
+++ b/crates/dapplecroft-controller/src/loops/fleet.rs
@@ -172,7 +172,7 @@
             silent.into_iter().filter(|(_, a)| !reached.contains(a)).map(|(id, _)| id).collect();
         if !given_up.is_empty() {
             tracing::info!(machines = ?given_up, "silent machines are given up");
-            self.with(|core| core.condemn(&given_up));
+            self.with(|core| core.mark_lost(&given_up));
         }
     }
 
@@ -199,7 +199,7 @@
 
     async fn read_catalog(&self) -> bool {
         let catalog: Catalog = match self.cloud.catalog().await {
-            Outcome::Done(catalog) if !catalog.hulls.is_empty() => catalog,
+            Outcome::Done(catalog) if !catalog.machine_types.is_empty() => catalog,
             _ => return false,
         };
         // Kept so that a restart during an outage of the cloud still knows.
--- a/crates/dapplecroft-controller/src/loops/follow.rs
+++ b/crates/dapplecroft-controller/src/loops/follow.rs
@@ -53,7 +53,7 @@
                 self.with(|core| core.load(items, revision, now()));
                 tracing::info!(records = count, revision, "records read");
                 self.wake_role.notify_one();
-                self.wake_beat.notify_one();
+                self.wake_heartbeat.notify_one();
                 true
             }
             Outcome::Refused(error) | Outcome::Unknown(error) => {
--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -92,7 +92,7 @@
                 });
                 let _ = joined.await;
             }
-            let lazy = self.with(|core| core.has_lazy());
+            let lazy = self.with(|core| core.has_deferrable());
             let pause = if lazy { LAZY_TICK } else { TICK };
             tokio::select! {
                 () = self.wake_flush.notified() => {}
@@ -157,7 +157,7 @@
                 waiting = s.waiting,
                 placed = s.placed,
                 free_percent = s.free_percent,
-                parts = s.parts,
+                shards = s.shards,
                 bytes = s.bytes,
                 layout = s.layout,
                 changes_waiting = self.committer.waiting(),
@@ -215,7 +215,7 @@
         if !matches!(end, CommandEnd::Answered(_)) {
             // Its next try is due after a pause, unless a report comes first.
             sleep(Duration::from_secs(1)).await;
-            self.with(|core| core.wakes.command.insert(id.into()));
+            self.with(|core| core.wakeups.command.insert(id.into()));
         }
     }
 }
--- a/crates/dapplecroft-controller/src/node.rs
+++ b/crates/dapplecroft-controller/src/node.rs
@@ -1,6 +1,6 @@
 //! One controller: the core behind a lock, its clients, and request handling.
 
-use crate::core::{Core, HelloAnswer, Wakes};
+use crate::core::{Core, ReportAnswer, Wakeups};
 use crate::options::Options;
 use crate::peers::Peers;
 use bytes::Bytes;
@@ -100,7 +100,7 @@
     pub(crate) wake_flush: Notify,
     pub(crate) wake_command: Notify,
     pub(crate) wake_role: Notify,
-    pub(crate) wake_beat: Notify,
+    pub(crate) wake_heartbeat: Notify,
     pub(crate) wake_fleet: Notify,
     pub(crate) wake_end: Notify,
     pub(crate) to_command: Mutex<BTreeSet<Arc<str>>>,
@@ -166,7 +166,7 @@
             wake_flush: Notify::new(),
             wake_command: Notify::new(),
             wake_role: Notify::new(),
-            wake_beat: Notify::new(),
+            wake_heartbeat: Notify::new(),
             wake_fleet: Notify::new(),
             wake_end: Notify::new(),
             to_command: Mutex::default(),
@@ -184,33 +184,33 @@
     /// Works with the core, and wakes the loops that have something to do then.
     /// The lock is never held across a wait.
     pub fn with<R>(&self, work: impl FnOnce(&mut Core) -> R) -> R {
-        let (result, wakes) = {
+        let (result, wakeups) = {
             let mut core = lock(&self.core);
             let result = work(&mut core);
-            (result, core.take_wakes())
+            (result, core.take_wakeups())
         };
-        self.wake(wakes);
+        self.wake(wakeups);
         result
     }
 
-    fn wake(&self, wakes: Wakes) {
-        if wakes.place {
+    fn wake(&self, wakeups: Wakeups) {
+        if wakeups.place {
             self.wake_place.notify_one();
         }
-        if wakes.flush {
+        if wakeups.flush {
             self.wake_flush.notify_one();
         }
-        if wakes.role {
+        if wakeups.role {
             self.wake_role.notify_one();
         }
-        if wakes.fleet {
+        if wakeups.fleet {
             self.wake_fleet.notify_one();
         }
-        if wakes.end {
+        if wakeups.end {
             self.wake_end.notify_one();
         }
-        if !wakes.command.is_empty() {
-            lock(&self.to_command).extend(wakes.command);
+        if !wakeups.command.is_empty() {
+            lock(&self.to_command).extend(wakeups.command);
             self.wake_command.notify_one();
         }
     }
@@ -279,11 +279,11 @@
     }
 }
 
-fn answer_hello(answer: HelloAnswer) -> Reply {
+fn answer_hello(answer: ReportAnswer) -> Reply {
     match answer {
-        HelloAnswer::Orders(orders) => Reply::json(200, &orders),
-        HelloAnswer::Redirect(report_to) => Reply::json(421, &Redirect { report_to }),
-        HelloAnswer::Unavailable => Reply::busy("holder unknown", 1),
+        ReportAnswer::Orders(orders) => Reply::json(200, &orders),
+        ReportAnswer::Redirect(report_to) => Reply::json(421, &Redirect { report_to }),
+        ReportAnswer::Unavailable => Reply::busy("holder unknown", 1),
     }
 }
 
--- a/crates/dapplecroft-controller/src/peers.rs
+++ b/crates/dapplecroft-controller/src/peers.rs
@@ -140,7 +140,8 @@
     pub(crate) async fn room_loop(self: Arc<Self>) {
         loop {
             tokio::time::sleep(ROOM_EVERY).await;
-            let ask = self.with(|core| core.leads(now()) && core.blocks.len() > core.role.holdings.len());
+            let ask =
+                self.with(|core| core.leads(now()) && core.blocks.len() > core.role.leased_blocks.len());
             if !ask {
                 continue;
             }
--- a/crates/dapplecroft-controller/src/records.rs
+++ b/crates/dapplecroft-controller/src/records.rs
@@ -10,10 +10,10 @@
 use std::collections::BTreeMap;
 
 mod group;
-mod load;
+mod shard;
 
 pub use group::{GroupRecord, MemberRecord};
-pub use load::{LoadRecord, Span};
+pub use shard::{ShardRecord, Span};
 
 /// The newest layout that this program reads and writes.
 pub const LAYOUT: u32 = 2;
@@ -47,7 +47,7 @@
 }
 
 /// The key of tasks that a job had completed when its record was moved over.
-pub fn fold_key(id: &str, part: u32) -> String {
+pub fn completed_tasks_key(id: &str, part: u32) -> String {
     format!("dc/f/{id}/{part}")
 }
 
@@ -66,30 +66,30 @@
     format!("dc/v/{host}")
 }
 
-/// A part of what runs in a block: a bounded record of some of its machines.
+/// A shard of what runs in a block: a bounded record of some of its machines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct PartId {
+pub struct ShardId {
     /// The block.
     pub block: u32,
-    /// The part; none: the whole block's record, as the first version has it.
-    pub part: Option<u32>,
+    /// The shard; none: the whole block's record, as the first version has it.
+    pub shard: Option<u32>,
 }
 
-impl PartId {
-    /// A part of a block.
-    pub fn new(block: u32, part: u32) -> PartId {
-        PartId { block, part: Some(part) }
+impl ShardId {
+    /// A shard of a block.
+    pub fn new(block: u32, shard: u32) -> ShardId {
+        ShardId { block, shard: Some(shard) }
     }
 
     /// A block's one record of the first layout.
-    pub fn whole(block: u32) -> PartId {
-        PartId { block, part: None }
+    pub fn whole(block: u32) -> ShardId {
+        ShardId { block, shard: None }
     }
 
     /// The key.
     pub fn key(&self) -> String {
-        match self.part {
-            Some(part) => format!("dc/q/{}/{part}", self.block),
+        match self.shard {
+            Some(shard) => format!("dc/q/{}/{shard}", self.block),
             None => format!("dc/p/{}", self.block),
         }
     }
@@ -111,9 +111,9 @@
     /// A job.
     Job(&'a str),
     /// Completed tasks of a job that was moved over.
-    Fold(&'a str, u32),
-    /// What runs in a block, or a part of it.
-    Load(PartId),
+    CompletedTasks(&'a str, u32),
+    /// What runs in a block, or a shard of it.
+    Shard(ShardId),
     /// A group of machines.
     Group(&'a str),
     /// A controller.
@@ -137,13 +137,13 @@
                 ("d", block) => Key::Drain(block.parse().ok()?),
                 ("f", rest) => {
                     let (id, part) = rest.split_once('/')?;
-                    Key::Fold(id, part.parse().ok()?)
+                    Key::CompletedTasks(id, part.parse().ok()?)
                 }
                 ("n", host) => Key::Live(host),
-                ("p", block) => Key::Load(PartId::whole(block.parse().ok()?)),
+                ("p", block) => Key::Shard(ShardId::whole(block.parse().ok()?)),
                 ("q", rest) => {
-                    let (block, part) = rest.split_once('/')?;
-                    Key::Load(PartId::new(block.parse().ok()?, part.parse().ok()?))
+                    let (block, shard) = rest.split_once('/')?;
+                    Key::Shard(ShardId::new(block.parse().ok()?, shard.parse().ok()?))
                 }
                 ("v", host) => Key::Mark(host),
                 _ => return None,
@@ -188,9 +188,9 @@
     #[serde(rename = "to", default, skip_serializing_if = "BTreeMap::is_empty")]
     pub admitted: BTreeMap<u32, Ranges>,
     /// Completed tasks that a record of the first layout named; in this one
-    /// they have records of their own ([`Key::Fold`]).
+    /// they have records of their own ([`Key::CompletedTasks`]).
     #[serde(skip)]
-    pub folded: Ranges,
+    pub legacy_done: Ranges,
     /// Completed tasks, once the job is over.
     #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
     pub done: Option<u32>,
@@ -209,7 +209,7 @@
             stage,
             tasks: self.tasks,
             admitted: BTreeMap::new(),
-            folded: Ranges::default(),
+            legacy_done: Ranges::default(),
             done: Some(done),
             at: self.at,
             spec: None,
@@ -219,7 +219,7 @@
 
 /// Some completed tasks of a job.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct FoldRecord {
+pub struct CompletedTasksRecord {
     /// Which.
     #[serde(rename = "d")]
     pub done: Ranges,
--- a/crates/dapplecroft-controller/src/records/tests.rs
+++ b/crates/dapplecroft-controller/src/records/tests.rs
@@ -4,10 +4,10 @@
 #[test]
 fn keys_are_taken_apart() {
     for (key, parsed) in [
-        (PartId::whole(3).key(), Key::Load(PartId::whole(3))),
-        (PartId::new(3, 14).key(), Key::Load(PartId::new(3, 14))),
+        (ShardId::whole(3).key(), Key::Shard(ShardId::whole(3))),
+        (ShardId::new(3, 14).key(), Key::Shard(ShardId::new(3, 14))),
         (job_key("run-1"), Key::Job("run-1")),
-        (fold_key("run-1", 2), Key::Fold("run-1", 2)),
+        (completed_tasks_key("run-1", 2), Key::CompletedTasks("run-1", 2)),
         (block_key(12), Key::Block(12)),
         (drain_key(12), Key::Drain(12)),
         (group_key("dc-7-1.2"), Key::Group("dc-7-1.2")),
--- a/crates/dapplecroft-controller/src/users.rs
+++ b/crates/dapplecroft-controller/src/users.rs
@@ -152,7 +152,7 @@
             stage: JobStage::Open,
             tasks: spec.tasks,
             admitted: Default::default(),
-            folded: Default::default(),
+            legacy_done: Default::default(),
             done: None,
             at,
             spec: Some(spec),
@@ -207,7 +207,7 @@
         self.with(|core| {
             let Some(catalog) = &core.catalog else { return Judgement::Unknown };
             let need = Amounts::new(spec.cpus, spec.gpus, spec.memory_gb);
-            let fits = catalog.hulls.iter().any(|t| {
+            let fits = catalog.machine_types.iter().any(|t| {
                 spec.types.as_ref().is_none_or(|names| names.contains(&t.name))
                     && spec.zone.as_ref().is_none_or(|zone| t.zones.contains(zone))
                     && need.fits(&Amounts::new(t.cpus, t.gpus, t.memory_gb))
--- a/crates/dapplecroft-controller/tests/stories/fleet.rs
+++ b/crates/dapplecroft-controller/tests/stories/fleet.rs
@@ -44,7 +44,7 @@
         c.net.rule(Rule::all(&machine, &address(cut), Action::Drop));
         c.net.rule(Rule::all(&host(cut), &format!("w:{machine}"), Action::Drop));
     }
-    c.until("it steps back", || c.node(cut).with(|core| core.role.holdings.is_empty())).await;
+    c.until("it steps back", || c.node(cut).with(|core| core.role.leased_blocks.is_empty())).await;
     c.net.clear_rules();
     c.until_stage("run-1", "done").await;
     let again = (0..450).filter(|i| c.referee.starts(&format!("run-1/{i}")) > 1).count();
--- a/crates/dapplecroft-controller/tests/stories/restarts.rs
+++ b/crates/dapplecroft-controller/tests/stories/restarts.rs
@@ -34,7 +34,7 @@
 
 /// How many blocks each controller that is up holds, by its own belief.
 fn held(c: &Cluster, nodes: &[usize]) -> BTreeMap<usize, usize> {
-    nodes.iter().map(|n| (*n, c.node(*n).with(|core| core.role.holdings.len()))).collect()
+    nodes.iter().map(|n| (*n, c.node(*n).with(|core| core.role.leased_blocks.len()))).collect()
 }
 
 // The first that is back once took all blocks of a large fleet, drowned in the
