--- a/crates/dapplecroft-fakes/src/worker.rs
+++ b/crates/dapplecroft-fakes/src/worker.rs
@@ -48,7 +48,7 @@
     token: u64,
     renewed: Instant,
     notice: Option<Instant>,
-    steward: usize,
+    reports_to: usize,
     dead: bool,
     /// Until when the machine hangs.
     hangs: Option<Instant>,
@@ -108,7 +108,7 @@
                 token: 0,
                 renewed: Instant::now(),
                 notice: None,
-                steward: 0,
+                reports_to: 0,
                 dead: false,
                 hangs: None,
                 hung: Duration::ZERO,
@@ -258,8 +258,8 @@
             self.check_lease();
             let sent = Instant::now();
             let report = self.report();
-            let steward = self.inner.lock().unwrap().steward;
-            let (_, address) = &self.nodes[steward % self.nodes.len()];
+            let reports_to = self.inner.lock().unwrap().reports_to;
+            let (_, address) = &self.nodes[reports_to % self.nodes.len()];
             let request = Request {
                 address: address.clone(),
                 method: Method::POST,
@@ -291,22 +291,22 @@
                     let named = redirect
                         .report_to
                         .and_then(|host| self.nodes.iter().position(|(name, _)| *name == host));
-                    match named.filter(|n| *n != steward) {
+                    match named.filter(|n| *n != reports_to) {
                         Some(n) => {
-                            self.inner.lock().unwrap().steward = n;
+                            self.inner.lock().unwrap().reports_to = n;
                             self.changed.notify_one();
                         }
-                        None => self.next_node(steward).await,
+                        None => self.next_node(reports_to).await,
                     }
                 }
-                _ => self.next_node(steward).await,
+                _ => self.next_node(reports_to).await,
             }
         }
     }
 
-    async fn next_node(&self, steward: usize) {
+    async fn next_node(&self, reports_to: usize) {
         sleep(Duration::from_secs(1)).await;
-        self.inner.lock().unwrap().steward = (steward + 1) % self.nodes.len();
+        self.inner.lock().unwrap().reports_to = (reports_to + 1) % self.nodes.len();
         self.changed.notify_one();
     }
 
--- a/crates/dapplecroft-sched/src/fleet.rs
+++ b/crates/dapplecroft-sched/src/fleet.rs
@@ -12,7 +12,7 @@
     pub count: i64,
     /// Whether they can't wait for the cheapest machine: the one that is up
     /// soonest is taken.
-    pub soon: bool,
+    pub fastest: bool,
 }
 
 /// A kind of machine that can be asked for.
@@ -99,7 +99,7 @@
         let need = &demand.need;
         let mut left = pack(&mut rooms, need, demand.count);
         while left > 0 && total < most {
-            let Some(index) = cheapest_offer(offers, need, left, thrift && !demand.soon) else { break };
+            let Some(index) = cheapest_offer(offers, need, left, thrift && !demand.fastest) else { break };
             let offer = &offers[index];
             let each = need.amounts.times_in(&offer.capacity).max(1);
             // A last machine that would stay partly empty is chosen by itself.
--- a/crates/dapplecroft-sched/src/fleet/tests.rs
+++ b/crates/dapplecroft-sched/src/fleet/tests.rs
@@ -14,7 +14,7 @@
 
 #[test]
 fn booting_machines_are_filled_before_more_are_rented() {
-    let demands = [Demand { need: need(4.0), count: 6, soon: false }];
+    let demands = [Demand { need: need(4.0), count: 6, fastest: false }];
     let offers = [offer("small", 16.0, 1.0, 50.0), offer("big", 32.0, 2.5, 20.0)];
     let boots = |cpus: f64, count| {
         let room = Amounts::new(cpus, 0.0, cpus * 4.0);
@@ -29,8 +29,8 @@
 #[test]
 fn a_thousand_machines_are_planned_by_kinds() {
     let many = [
-        Demand { need: need(4.0), count: 4001, soon: false },
-        Demand { need: need(2.0), count: 2, soon: false },
+        Demand { need: need(4.0), count: 4001, fastest: false },
+        Demand { need: need(2.0), count: 2, fastest: false },
     ];
     let offers = [offer("small", 16.0, 1.0, 50.0)];
     assert_eq!(plan_rentals(&many, vec![], &offers, true, 5000), [Rental { offer: 0, count: 1001 }]);
@@ -39,9 +39,9 @@
 
 #[test]
 fn without_thrift_the_machine_that_is_up_first_is_taken() {
-    let demands = [Demand { need: need(4.0), count: 6, soon: false }];
+    let demands = [Demand { need: need(4.0), count: 6, fastest: false }];
     let offers = [offer("small", 16.0, 1.0, 50.0), offer("big", 32.0, 2.5, 20.0)];
     assert_eq!(plan_rentals(&demands, vec![], &offers, false, 50), [Rental { offer: 1, count: 1 }]);
-    let too_big = [Demand { need: need(64.0), count: 1, soon: false }];
+    let too_big = [Demand { need: need(64.0), count: 1, fastest: false }];
     assert!(plan_rentals(&too_big, vec![], &offers, false, 50).is_empty());
 }
--- a/crates/dapplecroft-sched/src/place.rs
+++ b/crates/dapplecroft-sched/src/place.rs
@@ -1,7 +1,7 @@
 //! Best fit on the dominant share.
 
 use crate::Amounts;
-use std::cmp::Reverse;
+use std::cmp::{Ordering, Reverse};
 
 /// A machine as placement sees it.
 #[derive(Debug, Clone, PartialEq)]
@@ -95,9 +95,49 @@
     pub fetch: u32,
 }
 
-/// What is compared: not doubtful, the step of the share, no sibling, the image
-/// and how quickly it would be there, the share, the first.
-type Fit = (bool, i64, (bool, HasImage, u32), f64, Reverse<usize>);
+/// How well a candidate fits. The best one is the greatest, fields compared in
+/// the order in which they stand here.
+#[derive(Debug, Clone, Copy)]
+struct FitScore {
+    /// Not slow or faulty.
+    reliable: bool,
+    /// The dominant share with the task, in [`SHARE_STEPS`] of the machine.
+    share_step: i64,
+    /// For replicas: no other one of the service is there.
+    no_sibling: bool,
+    /// Whether it has the image.
+    image: HasImage,
+    /// How quickly it would fetch it.
+    fetch: u32,
+    /// The dominant share with the task.
+    share: f64,
+    /// The candidate; of equal ones the first is the best.
+    candidate: Reverse<usize>,
+}
+
+impl FitScore {
+    fn new(index: usize, candidate: &Candidate, need: &Amounts) -> FitScore {
+        let share = (candidate.booked + *need).share_of(&candidate.capacity);
+        FitScore {
+            reliable: !candidate.doubtful,
+            share_step: (share * SHARE_STEPS) as i64,
+            no_sibling: !candidate.sibling,
+            image: candidate.image,
+            fetch: candidate.fetch,
+            share,
+            candidate: Reverse(index),
+        }
+    }
+
+    /// The better score is the greater.
+    fn compare(&self, other: &FitScore) -> Ordering {
+        let coarse = |s: &FitScore| (s.reliable, s.share_step, s.no_sibling, s.image, s.fetch);
+        coarse(self)
+            .cmp(&coarse(other))
+            .then(self.share.total_cmp(&other.share))
+            .then(self.candidate.cmp(&other.candidate))
+    }
+}
 
 /// Best fit on the dominant share for `count` equal tasks: each goes onto the
 /// machine whose share becomes the highest. Among about equally full ones, one
@@ -111,32 +151,26 @@
 /// The same with no more than so many tasks on each machine, for what should
 /// not all be lost with one.
 pub fn best_fit_of(candidates: &[Candidate], need: &Amounts, count: i64, each: i64) -> Vec<(usize, i64)> {
-    let mut order: Vec<Fit> = candidates
+    let mut order: Vec<FitScore> = candidates
         .iter()
         .enumerate()
         .filter(|(_, c)| need.fits(&(c.capacity - c.booked)))
-        .map(|(index, c)| {
-            let share = (c.booked + *need).share_of(&c.capacity);
-            let tie = (!c.sibling, c.image, c.fetch);
-            (!c.doubtful, (share * SHARE_STEPS) as i64, tie, share, Reverse(index))
-        })
+        .map(|(index, c)| FitScore::new(index, c, need))
         .collect();
-    let better = |a: &Fit, b: &Fit| {
-        (b.0, b.1, b.2).cmp(&(a.0, a.1, a.2)).then(b.3.total_cmp(&a.3)).then(b.4.cmp(&a.4))
-    };
+    let best_first = |a: &FitScore, b: &FitScore| b.compare(a);
     // Only as many machines as there are tasks can be needed.
     let most = usize::try_from(count.max(0)).unwrap_or(usize::MAX);
     if most == 0 {
         return Vec::new();
     }
     if order.len() > most {
-        order.select_nth_unstable_by(most - 1, better);
+        order.select_nth_unstable_by(most - 1, best_first);
         order.truncate(most);
     }
-    order.sort_unstable_by(better);
+    order.sort_unstable_by(best_first);
     let mut left = count;
     let mut chosen = Vec::new();
-    for (_, _, _, _, Reverse(index)) in order {
+    for FitScore { candidate: Reverse(index), .. } in order {
         if left <= 0 {
             break;
         }
@@ -149,65 +183,4 @@
 }
 
 #[cfg(test)]
-pub(crate) mod tests {
-    use super::*;
-
-    pub(crate) fn slot(name: &str, cpus: f64, booked: f64) -> Slot {
-        Slot {
-            machine: name.into(),
-            machine_type: "m".into(),
-            zone: "z".into(),
-            spot: false,
-            capacity: Amounts::new(cpus, 0.0, cpus * 4.0),
-            booked: Amounts::new(booked, 0.0, booked),
-            open: true,
-        }
-    }
-
-    pub(crate) fn need(cpus: f64) -> Need {
-        Need { amounts: Amounts::new(cpus, 0.0, cpus), spot: true, ..Need::default() }
-    }
-
-    fn candidate(cpus: f64, booked: f64) -> Candidate {
-        let slot = slot("c", cpus, booked);
-        Candidate {
-            capacity: slot.capacity,
-            booked: slot.booked,
-            image: HasImage::No,
-            doubtful: false,
-            sibling: false,
-            fetch: 0,
-        }
-    }
-
-    #[test]
-    fn the_fullest_machine_that_still_fits_is_filled_first() {
-        let machines = [candidate(16.0, 0.0), candidate(16.0, 8.0), candidate(16.0, 14.0)];
-        assert_eq!(best_fit(&machines, &need(4.0).amounts, 1), [(1, 1)]);
-        assert_eq!(best_fit(&machines, &need(2.0).amounts, 1), [(2, 1)]);
-        assert_eq!(best_fit(&machines, &need(4.0).amounts, 5), [(1, 2), (0, 3)]);
-        assert!(best_fit(&machines, &need(17.0).amounts, 1).is_empty());
-        assert!(best_fit(&machines, &need(4.0).amounts, 0).is_empty());
-    }
-
-    #[test]
-    fn the_image_decides_between_about_equally_full_machines_and_doubt_before_all() {
-        let mut machines = [candidate(16.0, 4.5), candidate(16.0, 4.0)];
-        machines[1].image = HasImage::Yes;
-        assert_eq!(best_fit(&machines, &need(1.0).amounts, 1), [(1, 1)]);
-        machines[1].doubtful = true;
-        assert_eq!(best_fit(&machines, &need(1.0).amounts, 1), [(0, 1)]);
-    }
-
-    #[test]
-    fn types_zones_and_spot_are_respected() {
-        let mut spot = slot("a", 16.0, 8.0);
-        spot.spot = true;
-        let mut task = need(4.0);
-        assert!(task.fits(&spot));
-        task.spot = false;
-        assert!(!task.fits(&spot) && task.fits(&slot("b", 16.0, 0.0)));
-        task.types = Some(vec!["other".into()]);
-        assert!(!task.fits(&slot("b", 16.0, 0.0)));
-    }
-}
+pub(crate) mod tests;
--- a/crates/dapplecroft-wire/src/cloud.rs
+++ b/crates/dapplecroft-wire/src/cloud.rs
@@ -6,7 +6,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Catalog {
     /// All machine types on offer.
-    pub hulls: Vec<MachineType>,
+    #[serde(rename = "hulls")]
+    pub machine_types: Vec<MachineType>,
 }
 
 /// One machine type.
--- a/crates/dapplecroft-wire/src/lib.rs
+++ b/crates/dapplecroft-wire/src/lib.rs
@@ -11,7 +11,8 @@
 
 /// The gRPC protocol between the controllers.
 pub mod peer {
-    #![allow(missing_docs, clippy::unwrap_used)]
+    // Generated code is not ours to divide.
+    #![allow(missing_docs, clippy::unwrap_used, clippy::too_many_lines)]
     tonic::include_proto!("dapplecroft.peer.v1");
 }
 
