--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -4,6 +4,7 @@
 
 mod admission;
 mod blocks;
+mod capacity_usage;
 mod commit;
 mod commit_priority;
 mod commit_queue;
@@ -26,6 +27,7 @@
 mod units;
 
 pub use blocks::{BlockLease, LeaseGrant};
+pub use capacity_usage::CapacityUsage;
 pub use commit::{Subject, UnitEnd, WorkUnit};
 pub use fleet::{FleetActions, MAX_CONSULTED};
 pub use groups::GroupUnit;
@@ -121,6 +123,8 @@
     pub bytes: usize,
     /// Processors that are free on machines that take work, in percent.
     pub free_percent: i64,
+    /// What the processors of all its machines are used for.
+    pub usage: CapacityUsage,
     /// The layout of the records in force.
     pub layout: u32,
 }
@@ -438,6 +442,7 @@
             jobs: self.open.len(),
             ..Summary::default()
         };
+        summary.usage = self.capacity_usage(now);
         let (mut free, mut all) = (0, 0);
         for machine in self.machines.values() {
             let Some(block_lease) = self.role.leased_blocks.get(&machine.block) else { continue };
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -25,17 +25,43 @@
 /// Other work has so long to give way to replicas before machines are rented.
 const GIVE_WAY: Duration = Duration::from_secs(2);
 
+/// Which work goes before which, whatever else is known of it. A guarantee is a
+/// promise to a team whatever the rank of its work: what another team runs beyond
+/// its own must not keep it waiting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum ServiceLevel {
+    /// Critical and urgent work, by effective rank.
+    Urgent(u8),
+    /// Ordinary work that lies within its team's guarantee, or has waited very
+    /// long.
+    Promised,
+    /// Other ordinary work, by effective rank.
+    Ordinary(u8),
+}
+
+impl ServiceLevel {
+    fn of(rank: u8, promised: bool) -> ServiceLevel {
+        match rank {
+            0 | 1 => ServiceLevel::Urgent(rank),
+            _ if promised => ServiceLevel::Promised,
+            _ => ServiceLevel::Ordinary(rank),
+        }
+    }
+}
+
 /// In which order jobs are served: the job with the smallest key goes first.
 /// Fields are compared in the order in which they stand here.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct ServingKey {
-    /// The effective rank; lower numbers go first.
-    rank: u8,
+    /// Which of all work goes before which.
+    level: ServiceLevel,
     /// For a job that has waited very long, its submission time in milliseconds
     /// since 1970; for all others, the largest number.
     starved_since: u64,
     /// Work within its team's guarantee goes before work beyond it.
     beyond_guarantee: bool,
+    /// The effective rank; lower numbers go first.
+    rank: u8,
     /// Whether the job can still meet its deadline.
     deadline: DeadlineState,
     /// Best fit *decreasing*: the larger tasks first.
@@ -197,9 +223,10 @@
                 let rank = self.effective_rank(job);
                 let starved = rank < job.rank() || self.is_starved(job);
                 let key = ServingKey {
-                    rank,
+                    level: ServiceLevel::of(rank, within || starved),
                     starved_since: if starved { submitted_ms } else { u64::MAX },
                     beyond_guarantee: !within,
+                    rank,
                     deadline: deadline_state(due - wall, job.spec.estimate_s),
                     task_cpus: Reverse(job.need.amounts.cpus),
                     work_left_s: (f64::from(job.left()) * job.spec.estimate_s) as u64,
--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -157,6 +157,7 @@
                 waiting = s.waiting,
                 placed = s.placed,
                 free_percent = s.free_percent,
+                usage = ?s.usage,
                 shards = s.shards,
                 bytes = s.bytes,
                 layout = s.layout,
