--- a/crates/dapplecroft-controller/src/core/displace.rs
+++ b/crates/dapplecroft-controller/src/core/displace.rs
@@ -6,11 +6,12 @@
 use crate::machines::Machine;
 use dapplecroft_sched::{Amounts, Claim, Need, Resident, Slot, pick_victims};
 use dapplecroft_wire::users::Rank;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Most tasks stopped at a time.
 const MAX_DISPLACED: usize = 40;
+/// What a task that saves is given beyond the time that it needs.
+const SAVE_MARGIN: Duration = Duration::from_secs(1);
 /// Pause between two looks for work to displace, which go over all machines.
 const DISPLACEMENT_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -31,7 +32,7 @@
 }
 
 /// Chooses what is stopped on some machines so that up to `wanted` tasks fit,
-/// where the least run time is lost. What is leaving anyway counts as room that
+/// where the least machine time is lost. What is leaving anyway counts as room that
 /// will be there. Returns the tasks and the time that is lost.
 fn make_room(
     hosts: &mut [&mut Host],
@@ -103,13 +104,13 @@
         for task in &machine.tasks {
             let Some(job) = self.open_job(&task.job) else { continue };
             let Some(placed) = job.placed.get(&task.index).filter(|p| !p.freed) else { continue };
-            // Time spent on fetching an image is lost with the task too.
-            let ran = now.saturating_duration_since(placed.since);
+            let progress = job.progress(placed, now);
             let resident = Resident {
                 slot,
                 need: job.need.clone(),
-                ran,
-                movable: placed.committed && ran <= oldest && !job.is_service(),
+                age: progress.age,
+                loss: progress.loss(),
+                movable: placed.committed && progress.age <= oldest && !job.is_service(),
                 leaving: placed.stop.is_some(),
                 rank: self.effective_rank(job),
                 // A replica gives way to a higher rank alone.
@@ -121,8 +122,8 @@
         residents
     }
 
-    /// Stops work that has to give way to waiting work, where the least run
-    /// time is lost. What is leaving anyway counts as room that will be there.
+    /// Stops work that has to give way to waiting work, where the least
+    /// machine time is lost. What is leaving anyway counts as room that will be there.
     pub(super) fn displace(&mut self, unplaced: &[Unplaced], now: Instant) {
         let urgent = |u: &Unplaced| {
             !u.here.is_empty() && self.open_job(&u.job).is_some_and(|j| j.spec.priority < Rank::Normal)
@@ -174,19 +175,30 @@
                 tracing::info!(for_job = %unplaced.job, ?claim, tasks = stopped.len(), ?lost, "tasks give way");
             }
             for task in stopped {
-                self.stop(&task, Stop::Preempted);
+                self.stop(&task, Stop::Preempted, now);
             }
         }
     }
 
-    /// Asks for a task's end.
-    pub(super) fn stop(&mut self, task: &TaskId, why: Stop) {
+    /// Asks for the end of a task that is recorded on a machine.
+    pub(super) fn stop(&mut self, task: &TaskId, why: Stop, now: Instant) {
+        let placed = self.open_job(&task.job).and_then(|job| job.placed.get(&task.index));
+        if placed.is_some_and(|p| p.committed) {
+            self.ask_for_end(task, why, Duration::MAX, now);
+        }
+    }
+
+    /// Asks for a task's end, with time to save if that is worth it and takes no
+    /// longer than `left`.
+    pub(super) fn ask_for_end(&mut self, task: &TaskId, why: Stop, left: Duration, now: Instant) {
         let Some(job) = self.open_job_mut(&task.job) else { return };
-        let Some(placed) = job.placed.get_mut(&task.index).filter(|p| p.committed) else { return };
-        if placed.stop.is_none() {
+        let Some(placed) = job.placed.get(&task.index).filter(|p| p.stop.is_none()) else { return };
+        let time_to_save = job.progress(placed, now).time_to_save().filter(|time| *time <= left);
+        let machine = placed.machine.clone();
+        if let Some(placed) = job.placed.get_mut(&task.index) {
             placed.stop = Some(why);
-            let machine: Arc<str> = placed.machine.clone();
-            self.wakeups.command.insert(machine);
+            placed.grace = time_to_save.map_or(Duration::ZERO, |time| time + SAVE_MARGIN);
         }
+        self.wakeups.command.insert(machine);
     }
 }
--- a/crates/dapplecroft-controller/src/core/drain.rs
+++ b/crates/dapplecroft-controller/src/core/drain.rs
@@ -191,7 +191,7 @@
             };
             if *placed.machine == *record.machine && placed.attempt == *attempt {
                 left = true;
-                self.stop(&task, Stop::Drained);
+                self.stop(&task, Stop::Drained, now);
             }
         }
         let machine = self.machines.get(record.machine.as_str());
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -502,6 +502,7 @@
                 running: None,
                 sent: 0,
                 stop: None,
+                grace: Duration::ZERO,
                 freed: false,
             },
         );
--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -307,15 +307,14 @@
     fn notice(&mut self, id: &Arc<str>, now: Instant) {
         let Some(machine) = self.machines.get(id) else { return };
         let Some(taken_at) = machine.taken_at else { return };
-        let left = taken_at.saturating_duration_since(now).as_secs_f64();
-        tracing::info!(machine = &**id, left, tasks = machine.tasks.len(), "the cloud takes a machine back");
+        let left = taken_at.saturating_duration_since(now);
+        tracing::info!(machine = &**id, ?left, tasks = machine.tasks.len(), "the cloud takes a machine back");
         for task in machine.tasks.clone() {
-            let Some(job) = self.open_job_mut(&task.job).filter(|j| !j.is_service()) else { continue };
-            let estimate = job.spec.estimate_s;
-            let Some(placed) = job.placed.get_mut(&task.index) else { continue };
-            let ran = placed.running.map_or(0.0, |r| now.saturating_duration_since(r).as_secs_f64());
-            if placed.stop.is_none() && estimate - ran > left {
-                placed.stop = Some(Stop::Notice);
+            let Some(job) = self.open_job(&task.job).filter(|j| !j.is_service()) else { continue };
+            let Some(placed) = job.placed.get(&task.index) else { continue };
+            let ran = placed.running.map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64());
+            if job.spec.estimate_s - ran > left.as_secs_f64() {
+                self.ask_for_end(&task, Stop::Notice, left, now);
             }
         }
         self.wakeups.place = true;
@@ -332,7 +331,7 @@
             self.machines.values().filter(soon).filter(held).flat_map(|m| m.tasks.iter().cloned()).collect();
         for task in leaving {
             if self.open_job(&task.job).is_some_and(|j| j.is_service()) {
-                self.stop(&task, Stop::Notice);
+                self.stop(&task, Stop::Notice, now);
             }
         }
     }
@@ -363,15 +362,16 @@
                     grace_s: 0.0,
                 }),
                 (Some(placed), state) if state != TaskState::Exited => {
-                    if let Some(stop) = placed.stop {
-                        let grace_s = self.grace(task, stop, machine, now);
-                        if state != TaskState::Saving || grace_s == 0.0 {
-                            orders.push(Order::Kill {
-                                task: report.task.clone(),
-                                attempt: report.attempt,
-                                grace_s,
-                            });
-                        }
+                    // A second `kill` would end a save that is under way: only a
+                    // cancellation does that.
+                    let saves = state == TaskState::Saving;
+                    if let Some(stop) = placed.stop.filter(|stop| !saves || *stop == Stop::Withdrawn) {
+                        let grace = if stop == Stop::Withdrawn { Duration::ZERO } else { placed.grace };
+                        orders.push(Order::Kill {
+                            task: report.task.clone(),
+                            attempt: report.attempt,
+                            grace_s: grace.as_secs_f64(),
+                        });
                     }
                 }
                 _ => {}
@@ -394,19 +394,6 @@
         orders
     }
 
-    /// How long a task that is stopped may save.
-    fn grace(&self, task: &TaskId, stop: Stop, machine: &Machine, now: Instant) -> f64 {
-        let Some(job) = self.open_job(&task.job) else { return 0.0 };
-        if stop == Stop::Withdrawn || job.spec.checkpoint_s <= 0.0 {
-            return 0.0;
-        }
-        let wanted = job.spec.save_s + 1.0;
-        match machine.taken_at {
-            Some(at) if stop == Stop::Notice => wanted.min(at.saturating_duration_since(now).as_secs_f64()),
-            _ => wanted,
-        }
-    }
-
     fn note_sent(&mut self, id: &str, orders: &[Order], token: u64) {
         for order in orders {
             let Order::Start { task, .. } = order else { continue };
--- a/crates/dapplecroft-controller/src/core/shard_sync.rs
+++ b/crates/dapplecroft-controller/src/core/shard_sync.rs
@@ -6,7 +6,7 @@
 use crate::records::{ShardId, ShardRecord, Span};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// A task that a shard's record has on a machine.
 struct Arrival {
@@ -194,6 +194,7 @@
             running: None,
             sent: 0,
             stop,
+            grace: Duration::ZERO,
             freed: false,
         };
         let amounts = job.need.amounts;
--- a/crates/dapplecroft-controller/src/core/testing.rs
+++ b/crates/dapplecroft-controller/src/core/testing.rs
@@ -6,7 +6,7 @@
 use crate::records::ShardId;
 use dapplecroft_wire::settings::Settings;
 use serde_json::{Value, json};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// A core of a controller with one team and no records.
 pub(super) fn core() -> Core {
@@ -40,6 +40,7 @@
         running: None,
         sent: 0,
         stop: None,
+        grace: Duration::ZERO,
         freed: false,
     }
 }
--- a/crates/dapplecroft-controller/src/jobs.rs
+++ b/crates/dapplecroft-controller/src/jobs.rs
@@ -2,7 +2,7 @@
 
 use crate::ranges::Ranges;
 use crate::records::{JobRecord, JobStage, ShardId};
-use dapplecroft_sched::{Amounts, Need};
+use dapplecroft_sched::{Amounts, Checkpoints, Need, Progress};
 use dapplecroft_wire::users::{JobSpec, JobStatus, Rank, Stage};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -66,6 +66,9 @@
     pub sent: u64,
     /// Whether it is to be stopped.
     pub stop: Option<Stop>,
+    /// Time that it is given to save then, decided with the stop: it must not
+    /// change while the task saves.
+    pub grace: Duration,
     /// Whether its room is free already: it has left its machine by proof, and
     /// the record of that is on its way.
     pub freed: bool,
@@ -237,6 +240,25 @@
         self.spec.is_service()
     }
 
+    /// How far one of its tasks has come on its machine.
+    pub fn progress(&self, placed: &Placed, now: Instant) -> Progress {
+        Progress {
+            age: now.saturating_duration_since(placed.since),
+            running: placed.running.map(|at| now.saturating_duration_since(at)),
+            checkpoints: self.checkpoints(),
+            first_attempt: placed.attempt == 1,
+        }
+    }
+
+    /// How its tasks save their progress, if they do.
+    fn checkpoints(&self) -> Option<Checkpoints> {
+        let saves = self.spec.checkpoint_s > 0.0 && !self.is_service();
+        saves.then(|| Checkpoints {
+            interval: duration_or_zero(self.spec.checkpoint_s),
+            save_time: duration_or_zero(self.spec.save_s),
+        })
+    }
+
     /// Whether the zones of its tasks depend on each other.
     pub fn is_constrained(&self) -> bool {
         self.spec.one_zone || self.spec.spread
@@ -327,6 +349,10 @@
     }
 }
 
+fn duration_or_zero(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or_default()
+}
+
 impl Job {
     /// The answer to its user.
     pub fn status(&self, id: &str) -> JobStatus {
--- a/crates/dapplecroft-controller/tests/stories/cluster.rs
+++ b/crates/dapplecroft-controller/tests/stories/cluster.rs
@@ -190,6 +190,8 @@
             runs: BTreeMap::new(),
             fails: Vec::new(),
             per_task: false,
+            saves: BTreeMap::new(),
+            saved: Arc::default(),
         };
         adjust(&mut timing);
         let cloud = FakeCloud::new(&net, &referee, &nodes, timing, capacity);
--- a/crates/dapplecroft-controller/tests/stories/main.rs
+++ b/crates/dapplecroft-controller/tests/stories/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod blocks;
+mod checkpoints;
 mod cluster;
 mod ends;
 mod failures;
--- a/crates/dapplecroft-fakes/src/lib.rs
+++ b/crates/dapplecroft-fakes/src/lib.rs
@@ -12,4 +12,4 @@
 pub use net::{Action, Handler, Net, Rule};
 pub use referee::{Bound, Referee, Told};
 pub use state::{FakeState, Limits, Refusals};
-pub use worker::{FakeWorker, WorkerTiming};
+pub use worker::{FakeWorker, Saves, WorkerTiming};
--- a/crates/dapplecroft-fakes/src/worker.rs
+++ b/crates/dapplecroft-fakes/src/worker.rs
@@ -32,6 +32,19 @@
     /// Whether task n of a job that is named runs for 2n + 0.5 times as long, so
     /// that they end far apart.
     pub per_task: bool,
+    /// How tasks of jobs save their progress; jobs not named never do.
+    pub saves: BTreeMap<String, Saves>,
+    /// Progress that was saved, by task. It is outside of all machines.
+    pub saved: Arc<Mutex<BTreeMap<String, Duration>>>,
+}
+
+/// How a job's tasks save their progress.
+#[derive(Debug, Clone, Copy)]
+pub struct Saves {
+    /// Interval of progress after which they save by themselves.
+    pub interval: Duration,
+    /// How long it takes to save when they are stopped.
+    pub time: Duration,
 }
 
 struct Task {
@@ -39,6 +52,9 @@
     state: TaskState,
     why: Option<ExitReason>,
     work: Option<JoinHandle<()>>,
+    /// Since when it runs, and the progress that it began with.
+    began: Option<(Instant, Duration)>,
+    saved: Option<bool>,
 }
 
 struct Inner {
@@ -244,7 +260,7 @@
                     attempt: t.attempt,
                     state: t.state,
                     why: t.why,
-                    saved: None,
+                    saved: t.saved,
                 })
                 .collect(),
         }
@@ -314,18 +330,12 @@
         for order in orders {
             match order {
                 Order::Start { task, attempt } => self.begin(inner, task, *attempt),
-                Order::Kill { task, attempt, .. } => {
+                Order::Kill { task, attempt, grace_s } => {
                     if let Some(t) = inner.tasks.get_mut(task)
                         && t.attempt == *attempt
                         && t.state != TaskState::Exited
                     {
-                        if let Some(work) = t.work.take() {
-                            work.abort();
-                        }
-                        t.state = TaskState::Exited;
-                        t.why = Some(ExitReason::Stopped);
-                        self.referee.ended(task, &self.machine);
-                        self.changed.notify_one();
+                        self.kill(task, t, Duration::from_secs_f64(*grace_s));
                     }
                 }
                 Order::Clear { task, attempt } => {
@@ -341,6 +351,60 @@
         }
     }
 
+    /// Ends a task, or has it save first if it is given the time for that.
+    fn kill(&self, name: &str, task: &mut Task, grace: Duration) {
+        let saves = self.saves(name).filter(|saves| grace >= saves.time);
+        if task.state == TaskState::Saving && grace > Duration::ZERO {
+            return;
+        }
+        if let Some(work) = task.work.take() {
+            work.abort();
+        }
+        self.changed.notify_one();
+        if let (Some(saves), Some((since, before)), TaskState::Running) = (saves, task.began, task.state) {
+            let (me, name, attempt) = (self.own.upgrade().unwrap(), name.to_string(), task.attempt);
+            let progress = before + since.elapsed();
+            task.state = TaskState::Saving;
+            task.work = Some(tokio::spawn(async move { me.save(name, attempt, saves, progress).await }));
+            return;
+        }
+        task.state = TaskState::Exited;
+        task.why = Some(ExitReason::Stopped);
+        self.referee.ended(name, &self.machine);
+    }
+
+    async fn save(&self, name: String, attempt: u64, saves: Saves, progress: Duration) {
+        sleep(saves.time).await;
+        self.awake().await;
+        self.timing.saved.lock().unwrap().insert(name.clone(), progress);
+        self.referee.ended(&name, &self.machine);
+        let mut inner = self.inner.lock().unwrap();
+        if let Some(task) = inner.tasks.get_mut(&name).filter(|t| t.attempt == attempt) {
+            task.saved = Some(true);
+        }
+        drop(inner);
+        self.set(&name, attempt, TaskState::Exited, Some(ExitReason::Stopped));
+    }
+
+    fn saves(&self, name: &str) -> Option<Saves> {
+        let (job, _) = name.rsplit_once('/')?;
+        self.timing.saves.get(job).copied()
+    }
+
+    /// Runs a task to its end from what was saved of it, saving by itself.
+    async fn run_saving(&self, name: &str, attempt: u64, saves: Saves, total: Duration) {
+        let mut progress = self.timing.saved.lock().unwrap().get(name).copied().unwrap_or_default();
+        if let Some(task) = self.inner.lock().unwrap().tasks.get_mut(name).filter(|t| t.attempt == attempt) {
+            task.began = Some((Instant::now(), progress));
+        }
+        while progress < total {
+            let step = saves.interval.min(total - progress);
+            self.run_for(step).await;
+            progress += step;
+            self.timing.saved.lock().unwrap().insert(name.to_string(), progress);
+        }
+    }
+
     fn begin(&self, inner: &mut Inner, name: &str, attempt: u64) {
         if let Some(old) = inner.tasks.get(name) {
             if old.attempt != attempt {
@@ -350,7 +414,14 @@
         }
         let (me, task) = (self.own.upgrade().unwrap(), name.to_string());
         let work = tokio::spawn(async move { me.work(task, attempt).await });
-        let task = Task { attempt, state: TaskState::Fetching, why: None, work: Some(work) };
+        let task = Task {
+            attempt,
+            state: TaskState::Fetching,
+            why: None,
+            work: Some(work),
+            began: None,
+            saved: None,
+        };
         inner.tasks.insert(name.into(), task);
         self.changed.notify_one();
     }
@@ -369,12 +440,12 @@
         let named = self.timing.runs.get(&job).copied();
         let usual = named.unwrap_or(Duration::from_secs(10));
         let index: u32 = name.rsplit_once('/').and_then(|(_, n)| n.parse().ok()).unwrap_or(0);
-        self.run_for(if self.timing.per_task && named.is_some() {
-            usual / 2 + usual * 2 * index
-        } else {
-            usual
-        })
-        .await;
+        let total =
+            if self.timing.per_task && named.is_some() { usual / 2 + usual * 2 * index } else { usual };
+        match self.saves(&name) {
+            Some(saves) => self.run_saving(&name, attempt, saves, total).await,
+            None => self.run_for(total).await,
+        }
         self.referee.ended(&name, &self.machine);
         self.set(&name, attempt, TaskState::Exited, Some(ExitReason::Done));
     }
--- a/crates/dapplecroft-sched/src/lib.rs
+++ b/crates/dapplecroft-sched/src/lib.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod place;
 mod preempt;
+mod progress;
 mod repack;
 mod teams;
 
@@ -13,5 +14,6 @@
 pub use fleet::{Demand, Offer, Rental, Rooms, cheapest_offer, plan_rentals};
 pub use place::{Candidate, HasImage, Need, Slot, best_fit, best_fit_of};
 pub use preempt::{Claim, Victims, pick_victims};
+pub use progress::{Checkpoints, Progress};
 pub use repack::{DrainPlan, DrainRules, Move, Resident, plan_drain};
 pub use teams::{TeamBook, Teams};
--- a/crates/dapplecroft-sched/src/preempt.rs
+++ b/crates/dapplecroft-sched/src/preempt.rs
@@ -17,14 +17,14 @@
 pub struct Victims {
     /// Indices into the residents.
     pub residents: Vec<usize>,
-    /// Run time that is lost.
+    /// Machine time that is lost.
     pub lost: Duration,
 }
 
 /// What has to give way on one machine so that a waiting task fits, losing as
-/// little work as can be. A resident may be displaced by a higher rank, or if
-/// its team is beyond its guarantee and the waiting task within its own. What
-/// is leaving counts as room already.
+/// little work as can be, and no more than `limit` with any one task. A resident
+/// may be displaced by a higher rank, or if its team is beyond its guarantee and
+/// the waiting task within its own. What is leaving counts as room already.
 pub fn pick_victims(
     slot: &Slot,
     residents: &[Resident],
@@ -40,11 +40,11 @@
         .filter(|&r| {
             let resident = &residents[r];
             !resident.leaving
-                && resident.ran <= limit
+                && resident.loss <= limit
                 && (claim.rank < resident.rank || (claim.within_guarantee && resident.beyond_guarantee))
         })
         .collect();
-    candidates.sort_by_key(|&r| (residents[r].ran, r));
+    candidates.sort_by_key(|&r| (residents[r].loss, r));
     let leaving: Amounts = residents.iter().filter(|r| r.leaving).map(|r| r.need.amounts).sum();
     let mut room = slot.room() + leaving;
     let mut chosen = Vec::new();
@@ -54,7 +54,7 @@
             break;
         }
         room += residents[r].need.amounts;
-        lost += residents[r].ran;
+        lost += residents[r].loss;
         chosen.push(r);
     }
     if chosen.is_empty() || !need.amounts.fits(&room) {
@@ -66,7 +66,7 @@
         let without: Amounts = room - residents[r].need.amounts;
         if need.amounts.fits(&without) {
             room = without;
-            lost = lost.saturating_sub(residents[r].ran);
+            lost = lost.saturating_sub(residents[r].loss);
         } else {
             kept.push(r);
         }
--- a/crates/dapplecroft-sched/src/preempt/tests.rs
+++ b/crates/dapplecroft-sched/src/preempt/tests.rs
@@ -41,3 +41,18 @@
     borrowed.beyond_guarantee = true;
     assert!(find(&borrowed).is_some());
 }
+
+// What a stop loses was taken for the time since the start: a task that saves every
+// 20 s could not be displaced after a minute, and younger ones that lost all were.
+#[test]
+fn an_old_task_that_saves_gives_way_before_a_younger_one_that_does_not() {
+    let slot = slot("b", 16.0, 16.0);
+    let mut residents = [ranked(0, 8.0, 2, 300), ranked(0, 8.0, 2, 12)];
+    let claim = Claim { rank: 1, within_guarantee: false };
+    let limit = Duration::from_secs(60);
+    let find = |residents: &[Resident]| pick_victims(&slot, residents, &need(4.0), claim, limit).unwrap();
+    assert_eq!(find(&residents).residents, [1]);
+    residents[0].loss = Duration::from_secs(5);
+    let found = find(&residents);
+    assert_eq!((found.residents, found.lost), (vec![0], Duration::from_secs(5)));
+}
--- a/crates/dapplecroft-sched/src/repack.rs
+++ b/crates/dapplecroft-sched/src/repack.rs
@@ -12,8 +12,10 @@
     pub slot: usize,
     /// What it needs.
     pub need: Arc<Need>,
-    /// How long it has run.
-    pub ran: Duration,
+    /// How long it has been there.
+    pub age: Duration,
+    /// Machine time that is lost if it is stopped now.
+    pub loss: Duration,
     /// Whether it may be moved at all.
     pub movable: bool,
     /// Whether it is being stopped already.
@@ -31,7 +33,7 @@
     pub trigger: f64,
     /// No machine is filled beyond this share: min{theta, Umax}.
     pub cap: f64,
-    /// No task that has run longer is moved.
+    /// No task that has been there longer is moved.
     pub oldest: Duration,
 }
 
@@ -64,7 +66,8 @@
     residents: &[Resident],
     rules: DrainRules,
 ) -> Option<DrainPlan> {
-    // The machine whose tasks have run least goes first.
+    // The machine whose tasks lose least goes first: without checkpoints, the one
+    // whose tasks have run least.
     let mut victims: Vec<(Duration, usize)> = slots
         .iter()
         .enumerate()
@@ -72,10 +75,10 @@
         .filter_map(|(index, _)| {
             let mut total = Duration::ZERO;
             for r in residents.iter().filter(|r| r.slot == index) {
-                if !r.movable || r.leaving || r.ran > rules.oldest {
+                if !r.movable || r.leaving || r.age > rules.oldest {
                     return None;
                 }
-                total += r.ran;
+                total += r.loss;
             }
             Some((total, index))
         })
--- a/crates/dapplecroft-sched/src/repack/tests.rs
+++ b/crates/dapplecroft-sched/src/repack/tests.rs
@@ -1,11 +1,12 @@
 use super::*;
 use crate::place::tests::{need, slot};
 
-pub(crate) fn resident(slot: usize, cpus: f64, ran: u64) -> Resident {
+pub(crate) fn resident(slot: usize, cpus: f64, age: u64) -> Resident {
     Resident {
         slot,
         need: need(cpus).into(),
-        ran: Duration::from_secs(ran),
+        age: Duration::from_secs(age),
+        loss: Duration::from_secs(age),
         movable: true,
         leaving: false,
         rank: 2,
@@ -37,9 +38,20 @@
     // The cap keeps machines from being filled further than lately.
     assert_eq!(plan_drain(&[need(16.0)], &fits, &small, DrainRules { cap: 0.9, ..RULES }), None);
     // Too old, too full, or no help to the waiting task.
-    small[0].ran = Duration::from_secs(11);
+    small[0].age = Duration::from_secs(11);
     assert_eq!(plan_drain(&[need(16.0)], &fits, &small, RULES), None);
-    small[0].ran = Duration::from_secs(1);
+    small[0].age = Duration::from_secs(1);
     assert_eq!(plan_drain(&[need(16.0)], &fits, &small, DrainRules { trigger: 0.2, ..RULES }), None);
     assert_eq!(plan_drain(&[need(17.0)], &fits, &small, RULES), None);
 }
+
+// A machine whose tasks had just saved was left alone, and one whose tasks lost
+// all was emptied.
+#[test]
+fn of_young_machines_the_one_that_loses_least_is_emptied() {
+    let slots = [slot("a", 16.0, 4.0), slot("b", 16.0, 4.0), slot("c", 16.0, 8.0)];
+    let mut residents = [resident(0, 4.0, 6), resident(1, 4.0, 9), resident(2, 8.0, 30)];
+    assert_eq!(plan_drain(&[need(16.0)], &slots, &residents, RULES).unwrap().slot, 0);
+    residents[1].loss = Duration::from_secs(2);
+    assert_eq!(plan_drain(&[need(16.0)], &slots, &residents, RULES).unwrap().slot, 1);
+}
