--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -529,6 +529,7 @@
                 running: None,
                 sent: 0,
                 stop: None,
+                grace: Duration::ZERO,
                 freed: false,
             },
         );
