--- a/crates/dapplecroft-controller/src/core/displace.rs
+++ b/crates/dapplecroft-controller/src/core/displace.rs
@@ -1,10 +1,10 @@
 //! Work that has to give way to waiting work of a higher rank.
 
 use super::Core;
-use super::placing::Unplaced;
-use crate::jobs::{Stop, TaskId};
+use super::placing::{Unplaced, has_image};
+use crate::jobs::{OpenJob, Stop, TaskId};
 use crate::machines::Machine;
-use dapplecroft_sched::{Amounts, Claim, Need, Resident, Slot, pick_victims};
+use dapplecroft_sched::{Amounts, Claim, HasImage, Need, Resident, Slot, pick_victims};
 use dapplecroft_wire::users::Rank;
 use std::time::{Duration, Instant};
 
@@ -31,50 +31,82 @@
     }
 }
 
-/// Chooses what is stopped on some machines so that up to `wanted` tasks fit,
-/// where the least machine time is lost. What is leaving anyway counts as room that
-/// will be there. Returns the tasks and the time that is lost.
-fn make_room(
-    hosts: &mut [&mut Host],
-    need: &Need,
+/// What room is to be made for.
+struct RoomRequest<'a> {
+    /// What each waiting task needs.
+    need: &'a Need,
+    /// What entitles it to displace others.
     claim: Claim,
-    mut wanted: i64,
+    /// How many tasks wait.
+    wanted: i64,
+    /// Most tasks that may be stopped.
     most: usize,
+    /// No task that loses more is stopped.
     limit: Duration,
-) -> (Vec<TaskId>, Duration) {
+}
+
+/// What is stopped to make room.
+#[derive(Default)]
+struct Displacement {
+    tasks: Vec<TaskId>,
+    /// Machine time that is lost.
+    lost: Duration,
+}
+
+/// A machine on which room can be made.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Choice {
+    /// Machine time that is lost, how long the waiting task has to wait for its
+    /// room, and how long its image takes there.
+    cost: Duration,
+    /// Index of the host.
+    host: usize,
+    /// Machine time that is lost.
+    lost: Duration,
+    /// Indices of its residents that are stopped.
+    victims: Vec<usize>,
+}
+
+/// Chooses what is stopped on some machines so that the wanted tasks fit, where
+/// the least time is lost, theirs until they run included. What is leaving anyway counts as room that will be there.
+fn make_room(
+    hosts: &mut [&mut Host],
+    request: &RoomRequest<'_>,
+    fetch_time: impl Fn(&Host) -> Duration,
+) -> Displacement {
+    let need = request.need;
+    let mut wanted = request.wanted;
     for host in hosts.iter_mut() {
         let allowed = need.allows(&host.slot.machine_type, &host.slot.zone, host.slot.spot);
         if wanted > 0 && host.slot.open && allowed {
-            let n = host.fits(need).min(wanted);
-            host.slot.booked += need.amounts.times(n);
-            wanted -= n;
+            let fitting = host.fits(need).min(wanted);
+            host.slot.booked += need.amounts.times(fitting);
+            wanted -= fitting;
         }
     }
-    let mut choices: Vec<(Duration, usize, Vec<usize>)> = hosts
-        .iter()
-        .enumerate()
-        .filter_map(|(index, host)| {
-            let found = pick_victims(&host.slot, &host.residents, need, claim, limit)?;
-            Some((found.lost, index, found.residents))
-        })
-        .collect();
+    let choice = |(index, host): (usize, &&mut Host)| {
+        let found = pick_victims(&host.slot, &host.residents, need, request.claim, request.limit)?;
+        let cost = found.lost + found.delay + fetch_time(host);
+        Some(Choice { cost, host: index, lost: found.lost, victims: found.residents })
+    };
+    let mut choices: Vec<Choice> = hosts.iter().enumerate().filter_map(choice).collect();
     choices.sort();
-    let (mut stopped, mut lost) = (Vec::new(), Duration::ZERO);
-    for (ran, index, victims) in choices {
-        if wanted <= 0 || stopped.len() + victims.len() > most {
+    let mut displacement = Displacement::default();
+    for choice in choices {
+        if wanted <= 0 || displacement.tasks.len() + choice.victims.len() > request.most {
             break;
         }
-        let host = &mut hosts[index];
-        for victim in victims {
+        let host = &mut hosts[choice.host];
+        for victim in choice.victims {
             host.residents[victim].leaving = true;
-            stopped.push(host.tasks[victim].clone());
+            displacement.tasks.push(host.tasks[victim].clone());
         }
-        lost += ran;
-        let n = host.fits(need).clamp(1, wanted);
-        host.slot.booked += need.amounts.times(n);
-        wanted -= n;
+        displacement.lost += choice.lost;
+        let fitting = host.fits(need).clamp(1, wanted);
+        host.slot.booked += need.amounts.times(fitting);
+        wanted -= fitting;
     }
-    (stopped, lost)
+    displacement
 }
 
 impl Core {
@@ -110,6 +142,7 @@
                 need: job.need.clone(),
                 age: progress.age,
                 loss: progress.loss(),
+                save_time: progress.time_to_save().unwrap_or_default(),
                 movable: placed.committed && progress.age <= oldest && !job.is_service(),
                 leaving: placed.stop.is_some(),
                 rank: self.effective_rank(job),
@@ -157,6 +190,9 @@
             let Some(job) = self.open_job(&unplaced.job) else { continue };
             let within = guaranteed.get(&unplaced.job).copied().unwrap_or(false);
             let claim = Claim { rank: job.rank(), within_guarantee: within };
+            // Replicas serve for long: what they need gives way however old.
+            let limit = if job.is_service() { Duration::MAX } else { self.options.preempt_limit };
+            let fetch_time = |host: &Host| self.fetch_time(&host.slot.machine, job);
             let mut stopped: Vec<TaskId> = Vec::new();
             let mut lost = Duration::ZERO;
             for (&block, &wanted) in &unplaced.here {
@@ -164,12 +200,11 @@
                 // made elsewhere would be filled by others and made again.
                 let mut own: Vec<&mut Host> =
                     hosts.iter_mut().filter(|h| block.is_none_or(|b| b == h.block)).collect();
-                // Replicas serve for long: what they need gives way however old.
-                let limit = if job.is_service() { Duration::MAX } else { self.options.preempt_limit };
-                let (tasks, ran) = make_room(&mut own, &unplaced.need, claim, wanted, left, limit);
-                left -= tasks.len();
-                lost += ran;
-                stopped.extend(tasks);
+                let request = RoomRequest { need: &unplaced.need, claim, wanted, most: left, limit };
+                let displacement = make_room(&mut own, &request, fetch_time);
+                left -= displacement.tasks.len();
+                lost += displacement.lost;
+                stopped.extend(displacement.tasks);
             }
             if !stopped.is_empty() {
                 tracing::info!(for_job = %unplaced.job, ?claim, tasks = stopped.len(), ?lost, "tasks give way");
@@ -180,6 +215,17 @@
         }
     }
 
+    /// How long the image of a job's tasks takes on a machine.
+    fn fetch_time(&self, machine: &str, job: &OpenJob) -> Duration {
+        let Some(machine) = self.machines.get(machine) else { return Duration::ZERO };
+        if has_image(machine, &job.need) != HasImage::No {
+            return Duration::ZERO;
+        }
+        let rate = f64::from(self.fetch_rate(&machine.machine_type)) / 1000.0;
+        let seconds = if rate > 0.0 { job.spec.image_gb / rate } else { 0.0 };
+        Duration::try_from_secs_f64(seconds).unwrap_or_default()
+    }
+
     /// Asks for the end of a task that is recorded on a machine.
     pub(super) fn stop(&mut self, task: &TaskId, why: Stop, now: Instant) {
         let placed = self.open_job(&task.job).and_then(|job| job.placed.get(&task.index));
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -154,7 +154,7 @@
     }
 
     /// How quickly machines of a type fetch images, in megabytes a second.
-    fn fetch_rate(&self, machine_type: &str) -> u32 {
+    pub(super) fn fetch_rate(&self, machine_type: &str) -> u32 {
         let machine_types = self.catalog.iter().flat_map(|c| &c.machine_types);
         let rate = machine_types.filter(|h| h.name == machine_type).map(|h| h.fetch_gb_per_s).next();
         (rate.unwrap_or(0.0) * 1000.0) as u32
@@ -546,7 +546,7 @@
         && (!job.spec.spread || here < job.record.tasks.div_ceil(2))
 }
 
-fn has_image(machine: &Machine, need: &Need) -> HasImage {
+pub(super) fn has_image(machine: &Machine, need: &Need) -> HasImage {
     match need.image.as_ref().map(|image| machine.image(image)) {
         None | Some(Some(true)) => HasImage::Yes,
         Some(Some(false)) => HasImage::Fetching,
--- a/crates/dapplecroft-sched/src/preempt.rs
+++ b/crates/dapplecroft-sched/src/preempt.rs
@@ -19,6 +19,8 @@
     pub residents: Vec<usize>,
     /// Machine time that is lost.
     pub lost: Duration,
+    /// How long it takes until the room is free.
+    pub delay: Duration,
 }
 
 /// What has to give way on one machine so that a waiting task fits, losing as
@@ -44,7 +46,8 @@
                 && (claim.rank < resident.rank || (claim.within_guarantee && resident.beyond_guarantee))
         })
         .collect();
-    candidates.sort_by_key(|&r| (residents[r].loss, r));
+    // The waiting task has to wait while one that gives way saves.
+    candidates.sort_by_key(|&r| (residents[r].loss + residents[r].save_time, r));
     let leaving: Amounts = residents.iter().filter(|r| r.leaving).map(|r| r.need.amounts).sum();
     let mut room = slot.room() + leaving;
     let mut chosen = Vec::new();
@@ -71,7 +74,8 @@
             kept.push(r);
         }
     }
-    Some(Victims { residents: kept, lost })
+    let delay = kept.iter().map(|&r| residents[r].save_time).max().unwrap_or_default();
+    Some(Victims { residents: kept, lost, delay })
 }
 
 #[cfg(test)]
--- a/crates/dapplecroft-sched/src/preempt/tests.rs
+++ b/crates/dapplecroft-sched/src/preempt/tests.rs
@@ -53,6 +53,11 @@
     let find = |residents: &[Resident]| pick_victims(&slot, residents, &need(4.0), claim, limit).unwrap();
     assert_eq!(find(&residents).residents, [1]);
     residents[0].loss = Duration::from_secs(5);
+    residents[0].save_time = Duration::from_secs(2);
     let found = find(&residents);
     assert_eq!((found.residents, found.lost), (vec![0], Duration::from_secs(5)));
+    assert_eq!(found.delay, Duration::from_secs(2));
+    // The waiting task's time counts as well.
+    residents[1].loss = Duration::from_secs(6);
+    assert_eq!(find(&residents).residents, [1]);
 }
--- a/crates/dapplecroft-sched/src/repack.rs
+++ b/crates/dapplecroft-sched/src/repack.rs
@@ -16,6 +16,8 @@
     pub age: Duration,
     /// Machine time that is lost if it is stopped now.
     pub loss: Duration,
+    /// How long it then saves before its room is free.
+    pub save_time: Duration,
     /// Whether it may be moved at all.
     pub movable: bool,
     /// Whether it is being stopped already.
--- a/crates/dapplecroft-sched/src/repack/tests.rs
+++ b/crates/dapplecroft-sched/src/repack/tests.rs
@@ -7,6 +7,7 @@
         need: need(cpus).into(),
         age: Duration::from_secs(age),
         loss: Duration::from_secs(age),
+        save_time: Duration::ZERO,
         movable: true,
         leaving: false,
         rank: 2,
