--- a/crates/dapplecroft-controller/tests/stories/main.rs
+++ b/crates/dapplecroft-controller/tests/stories/main.rs
@@ -3,19 +3,19 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod answers;
 mod blocks;
 mod checkpoints;
 mod cluster;
-mod ends;
+mod combined_faults;
 mod failures;
 mod five;
 mod fleet;
 mod gap;
 mod late;
 mod limits;
-mod looks;
-mod meetings;
 mod restarts;
+mod service_goals;
 mod services;
 mod storms;
 mod upgrade;
--- a/crates/dapplecroft-controller/tests/stories/zones.rs
+++ b/crates/dapplecroft-controller/tests/stories/zones.rs
@@ -112,3 +112,43 @@
         c.assert_rules_kept();
     }
 }
+
+// Machines stand in a zone that has no controller, and controllers in one without
+// machines: nobody inside a zone that is cut off answers its workers.
+#[tokio::test(start_paused = true)]
+async fn a_zone_without_a_controller_is_cut_off_and_comes_back() {
+    for (seconds, lost) in [(4.0, false), (20.0, true), (60.0, true)] {
+        let runs = |timing: &mut WorkerTiming| {
+            for k in 1..=3 {
+                timing.runs.insert(format!("run-{k}"), Duration::from_secs(300));
+            }
+        };
+        let prepare = |c: &Cluster| c.cloud.add_zones(&["y"]);
+        let options = Options { block_machines: Some(3), ..Options::default() };
+        let c = Cluster::of(5, 12, runs, options, serde_json::Value::Null, prepare).await;
+        for (id, zone) in [("run-1", Some("y")), ("run-2", Some("z")), ("run-3", None)] {
+            let mut body = job(id, "free", 4, 8.0, "normal");
+            body["yard"] = zone.into();
+            c.referee.bind(id, Bound { zone: zone.map(str::to_string), ..Bound::default() });
+            c.referee.job(id, "free", 8.0);
+            c.hand_in(id, &body).await;
+        }
+        c.until_running(12).await;
+        let cut_off = in_zone(&c, "y");
+        assert!(!cut_off.is_empty());
+        for machine in &cut_off {
+            c.net.rule(Rule::all(machine, "", Action::Drop));
+            c.net.rule(Rule::all("", &format!("w:{machine}"), Action::Drop));
+        }
+        pause(seconds).await;
+        assert!(c.net.matched(Action::Drop) > 0, "the cut was felt");
+        c.net.clear_rules();
+        c.until("all run again", || c.referee.on().len() == 12).await;
+        // A silence that is shorter than any lease ends no task; what is lost is only
+        // what ran there.
+        let started: usize = (0..4).map(|i| c.referee.starts(&format!("run-1/{i}"))).sum();
+        assert_eq!(started > 4, lost, "{seconds}: {started} starts");
+        assert!((0..4).all(|i| c.referee.starts(&format!("run-2/{i}")) == 1));
+        c.assert_rules_kept();
+    }
+}
--- a/crates/dapplecroft-net/src/sockets/tests.rs
+++ b/crates/dapplecroft-net/src/sockets/tests.rs
@@ -16,3 +16,20 @@
     drop((workers, users));
     assert_eq!(sockets.count(), 0);
 }
+
+// Five controllers with 1,000 sockets each; four have ended, and the workers of half
+// as many machines again as the site has report to the one that is left, with users.
+#[test]
+fn at_the_limit_there_is_room_left_for_renewals_and_for_requests_to_workers() {
+    let sockets = Sockets::new(1000);
+    let workers: Vec<Socket> = (0..480).map_while(|_| sockets.open()).collect();
+    assert_eq!(workers.len(), 480, "every worker is answered");
+    let users: Vec<Socket> = std::iter::from_fn(|| sockets.open()).take(5000).collect();
+    assert!(users.len() < 5000 && sockets.take_shed() > 0, "the others are turned away");
+    assert!(sockets.scarce() && sockets.scarce_out(), "no connection idles");
+    let left = 1000 - sockets.count();
+    assert!(left >= sockets.most_out() + KEPT, "{left}");
+    // A connection that ends with its answer makes room for the next report.
+    drop(users);
+    assert!(sockets.open().is_some());
+}
