--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -343,6 +343,7 @@
                 job.completed_records = self.completed_records.get(&id).cloned().unwrap_or_default();
                 self.open.insert(id.clone());
                 self.jobs.insert(id.clone(), Job::Open(Box::new(job)));
+                self.note_arrival(&id, now);
                 self.reapply_shards(&id, now);
             }
         }
--- a/crates/dapplecroft-controller/src/core/machine_fate.rs
+++ b/crates/dapplecroft-controller/src/core/machine_fate.rs
@@ -49,6 +49,7 @@
     idle_times: BTreeMap<(String, bool), Duration>,
     idle_return: Option<Duration>,
     with_replicas: BTreeSet<Arc<str>>,
+    surplus: BTreeSet<Arc<str>>,
     standby: BTreeSet<Arc<str>>,
 }
 
@@ -110,6 +111,8 @@
         let usual = self.idle_times.get(&kind).copied().unwrap_or(self.report_every);
         let paid = MIN_PAID.saturating_sub(self.age(machine));
         let keep = self.idle_return.unwrap_or(usual).max(paid);
+        // What is idle beyond what may come soon is not worth its price.
+        let keep = if self.surplus.contains(&machine.id) { paid } else { keep };
         let idle = machine.idle_since.is_some_and(|at| self.now.saturating_duration_since(at) > keep);
         let unused = idle && !take_wanted(machine, wanted) && !self.standby.contains(&machine.id);
         if machine.failed_jobs.len() >= MOST_FAILED_JOBS {
@@ -138,7 +141,8 @@
     /// Decides the fate of each machine of own blocks, and which are to be
     /// probed; returns those that are due to be released.
     pub(super) fn judge_machines(&mut self, actions: &mut FleetActions, now: Instant) -> BTreeSet<Arc<str>> {
-        let rules = self.fate_rules(now);
+        let surplus = self.surplus_machines(now);
+        let rules = self.fate_rules(surplus, now);
         let mut wanted = self.wanted_needs();
         let leased = &self.role.leased_blocks;
         let own = |m: &Machine| m.group.is_some() && leased.contains_key(&m.block);
@@ -163,7 +167,7 @@
         due
     }
 
-    fn fate_rules(&self, now: Instant) -> FateRules {
+    fn fate_rules(&self, surplus: BTreeSet<Arc<str>>, now: Instant) -> FateRules {
         let machine_types = self.catalog.iter().flat_map(|catalog| &catalog.machine_types);
         FateRules {
             now,
@@ -173,6 +177,7 @@
             idle_times: self.idle_times(),
             idle_return: self.options.idle_return,
             with_replicas: self.replica_machines(),
+            surplus,
             standby: self.standby_machines(),
         }
     }
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -13,6 +13,7 @@
 mod drain;
 mod fleet;
 mod groups;
+mod idle_reserve;
 mod layout;
 mod machine_fate;
 mod migration;
@@ -179,6 +180,8 @@
     pub waiting: BTreeSet<Arc<str>>,
     /// What waits to be committed.
     commits: CommitQueue,
+    /// Work that came lately.
+    arrivals: idle_reserve::Arrivals,
     /// Jobs that were withdrawn, or of which something was taken back, and about
     /// which something earlier may not be known yet.
     unsettled: BTreeSet<Arc<str>>,
@@ -262,6 +265,7 @@
             open: BTreeSet::new(),
             waiting: BTreeSet::new(),
             commits: CommitQueue::default(),
+            arrivals: idle_reserve::Arrivals::default(),
             shards: BTreeMap::new(),
             pending: BTreeMap::new(),
             absorbing: BTreeSet::new(),
