--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -475,3 +475,6 @@
     /// Nobody knows.
     Unknown,
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/dapplecroft-controller/src/core/session/tests.rs
@@ -0,0 +1,46 @@
+use super::*;
+use crate::core::BlockLease;
+use crate::core::testing::{core, job_record, proposed};
+use crate::jobs::Placed;
+use crate::records::ShardId;
+use dapplecroft_wire::workers::TaskReport;
+use serde_json::json;
+
+/// A core that commands a worker whose one task saves, and is to be stopped.
+fn with_a_saving_task(stop: Stop, now: Instant) -> Core {
+    let mut core = core();
+    core.apply("dc/j/run-1", Some(job_record("run-1", 1, json!({"0": [[0, 0]]}))), 5, now);
+    core.role.leased_blocks.insert(0, BlockLease { epoch: 1, version: 1 });
+    let task = TaskId { job: "run-1".into(), index: 0 };
+    let placed = Placed {
+        committed: true,
+        stop: Some(stop),
+        grace: Duration::from_secs(3),
+        ..proposed("i-1", ShardId::new(0, 0), 1, now)
+    };
+    let Some(Job::Open(job)) = core.jobs.get_mut("run-1") else { panic!("not open") };
+    job.placed.insert(0, placed);
+    core.book(&task, &"i-1".into(), 0, now);
+    let machine = core.machines.get_mut("i-1").unwrap();
+    machine.session = 1;
+    machine.seen_token = machine.token(1);
+    machine.taken_at = Some(now);
+    let report =
+        TaskReport { task: "run-1/0".into(), attempt: 1, state: TaskState::Saving, why: None, saved: None };
+    machine.reported.insert(task, report);
+    core
+}
+
+// What was left of a notice shrank while the task saved, until nothing was: a second
+// command, with no time, ended the save.
+#[test]
+fn a_save_that_is_under_way_is_ended_by_a_cancellation_alone() {
+    let now = Instant::now();
+    for stop in [Stop::Notice, Stop::Preempted, Stop::Drained] {
+        let core = with_a_saving_task(stop, now);
+        assert_eq!(core.orders("i-1", true, now), [], "{stop:?}");
+    }
+    let core = with_a_saving_task(Stop::Withdrawn, now);
+    let kill = Order::Kill { task: "run-1/0".into(), attempt: 1, grace_s: 0.0 };
+    assert_eq!(core.orders("i-1", true, now), [kill]);
+}
