--- a/crates/dapplecroft-controller/src/core/idle_reserve.rs
+++ b/crates/dapplecroft-controller/src/core/idle_reserve.rs
@@ -1,6 +1,6 @@
-//! How many idle machines are worth keeping: as many as the work of the next boot
-//! time would take, if it comes as it did lately. What is idle beyond that is
-//! surplus and returned soon, the dearest first.
+//! How many idle machines are worth keeping: as many as work would keep busy if it
+//! goes on coming as it did lately. What is idle beyond that is surplus and returned
+//! soon, the dearest first.
 
 use super::Core;
 use crate::machines::{Fate, Machine};
@@ -11,28 +11,39 @@
 /// A machine is surplus only after it has been idle for so long: room that is free
 /// between two rounds of placement is none.
 const SURPLUS_AFTER: Duration = Duration::from_secs(10);
-/// Work that came in so many usual boot times counts as what will come in one.
+/// Work that came within so many boot times tells how much is to be expected.
 const BOOT_TIMES: u32 = 2;
 
+/// A job that came lately.
+#[derive(Debug)]
+struct Arrival {
+    at: Instant,
+    /// Thousandths of processors that it asks for.
+    cpus: i64,
+    /// How long each task is expected to run.
+    run_time: Duration,
+}
+
 /// Work that came lately.
 #[derive(Debug, Default)]
 pub(super) struct Arrivals {
-    /// When it came, and thousandths of processors that it asked for.
-    jobs: VecDeque<(Instant, i64)>,
+    jobs: VecDeque<Arrival>,
 }
 
 impl Arrivals {
-    /// Notes a job that asks for processors.
-    pub fn note(&mut self, cpus: i64, now: Instant) {
-        self.jobs.push_back((now, cpus));
+    /// Notes a job that asks for processors for so long.
+    pub fn note(&mut self, cpus: i64, run_time: Duration, now: Instant) {
+        self.jobs.push_back(Arrival { at: now, cpus, run_time });
     }
 
-    /// Processors that were asked for within a window; forgets what came before.
-    pub fn within(&mut self, window: Duration, now: Instant) -> i64 {
-        while self.jobs.front().is_some_and(|(at, _)| now.saturating_duration_since(*at) > window) {
+    /// How many processors what came within a window keeps busy, on the average
+    /// over that window; forgets what came before.
+    pub fn keep_busy(&mut self, window: Duration, now: Instant) -> i64 {
+        while self.jobs.front().is_some_and(|job| now.saturating_duration_since(job.at) > window) {
             self.jobs.pop_front();
         }
-        self.jobs.iter().map(|(_, cpus)| cpus).sum()
+        let part = |time: Duration| time.min(window).as_secs_f64() / window.as_secs_f64().max(0.001);
+        self.jobs.iter().map(|job| (job.cpus as f64 * part(job.run_time)) as i64).sum()
     }
 }
 
@@ -71,14 +82,14 @@
             return BTreeSet::new();
         }
         let window = self.longest_boot_time() * BOOT_TIMES;
-        let arrived = self.arrivals.within(window, now);
+        let expected = self.arrivals.keep_busy(window, now);
         let keeps = |m: &&Machine| m.group.is_some() && m.fate == Fate::Keep && !m.given_up;
         let capacity = |own: bool| -> i64 {
             let counted = self.machines.values().filter(keeps).filter(|m| !own || self.is_holder(m.block));
             counted.map(|m| m.capacity.cpus).sum()
         };
         let (own, all) = (capacity(true), capacity(false).max(1));
-        let reserve = (arrived as f64 * own as f64 / all as f64) as i64;
+        let reserve = (expected as f64 * own as f64 / all as f64) as i64;
         let is_idle = |m: &&Machine| {
             let since = m.idle_since.is_some_and(|at| now.saturating_duration_since(at) > SURPLUS_AFTER);
             self.is_holder(m.block) && m.tasks.is_empty() && m.heard.is_some() && since
@@ -99,7 +110,9 @@
         let tasks = i64::from(job.record.tasks);
         let limit = self.teams.get(&job.spec.team).map_or(0, |team| team.limit.cpus);
         let cpus = job.need.amounts.cpus * tasks;
-        self.arrivals.note(if limit > 0 { cpus.min(limit) } else { cpus }, now);
+        let cpus = if limit > 0 { cpus.min(limit) } else { cpus };
+        let run_time = Duration::try_from_secs_f64(job.spec.estimate_s).unwrap_or_default();
+        self.arrivals.note(cpus, run_time, now);
     }
 
     fn longest_boot_time(&self) -> Duration {
