Shards of a block that is not leased do not queue each other without end

Cause: a controller that had lost a block could still have one of its shards queued. It took another light shard in, had nothing to commit (no lease), gave the other back, and that queued the other, which did the same. Ruled out: idle machines' reserve, the order of service. The test fails without the mend (1 queued again instead of 0).

--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -108,7 +108,9 @@
     fn work_unit(&mut self, next: NextSubject, now: Instant) -> Option<WorkUnit> {
         let NextSubject { subject, urgent } = next;
         let absorbed = match &subject {
-            Subject::Shard(id) => self.make_shard_fit(*id),
+            // Nothing can be committed of a block that is no longer leased. Taken in
+            // and restored, its shards would queue each other without end.
+            Subject::Shard(id) if self.is_holder(id.block) => self.make_shard_fit(*id),
             _ => None,
         };
         let unit = match &subject {
--- a/crates/dapplecroft-controller/src/core/commit/tests.rs
+++ b/crates/dapplecroft-controller/src/core/commit/tests.rs
@@ -93,3 +93,31 @@
     assert_eq!(proposals.len(), 1);
     assert!(unit.conditions.contains(&Condition { key: other.key(), version: 9 }), "{:?}", unit.conditions);
 }
+
+// A day took over 400 s of processor time: a shard of a block that had been lost was
+// still queued. It took another in, had nothing to commit, and queued the other, which
+// did the same, without end.
+#[test]
+fn shards_of_a_block_that_is_not_leased_do_not_queue_each_other() {
+    let now = Instant::now();
+    let mut core = core();
+    core.apply("dc/format", Some(json!({"layout": 2})), 1, now);
+    let job = |id: &str| job_record(id, 2, json!({"0": [[0, 1]]}));
+    core.apply("dc/j/run-1", Some(job("run-1")), 2, now);
+    core.apply("dc/j/run-2", Some(job("run-2")), 3, now);
+    let record = |job: &str, machine: &str| {
+        let span = Span { job: 0, first: 0, last: 0, attempt: 1, session: 1 };
+        let machines = [(machine.into(), vec![span])].into();
+        serde_json::to_value(ShardRecord { jobs: vec![job.into()], machines, ..ShardRecord::default() })
+            .unwrap()
+    };
+    let (one, other) = (ShardId::new(0, 0), ShardId::new(0, 1));
+    core.apply(&one.key(), Some(record("run-1", "i-1")), 4, now);
+    core.apply(&other.key(), Some(record("run-2", "i-2")), 5, now);
+    // Another block is leased, so this process goes on committing.
+    core.role.leased_blocks.insert(1, BlockLease { epoch: 1, version: 1 });
+    let next = NextSubject { subject: Subject::Shard(one), urgent: false };
+    assert!(core.work_unit(next, now).is_none());
+    assert_eq!(core.commits.backlog(), 0, "nothing is queued again");
+    assert!(!core.absorbs(other));
+}
