No fixed limit stands below 4,000 machines

Need: the service runs at about 4,000 machines. Settings allowed blocks and standby machines of 1,000 at most; a watch whose answer was beyond 16 MiB was asked for again from the same revision for ever; a large job's tasks were admitted to blocks by turns, so that its record, which names each range, was full at 2,880 of 4,000 tasks with values of 2 KiB.

Change: the settings go up to a million; an answer that is too large has the keys read again; a large job has a range of its own for each block. The stand-ins list in pages as the protocol says. Stories of 4,000 machines: start, fresh controller, change of leader, one controller alone, the smallest limits of the state service.

--- a/crates/dapplecroft-controller/src/core/admission.rs
+++ b/crates/dapplecroft-controller/src/core/admission.rs
@@ -13,6 +13,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// A job with so many tasks for each block has a part for each.
+const LARGE_PART: usize = 16;
+
 /// Tasks that a block could not start for so long are taken back, if another
 /// block can start some.
 const STALLED: Duration = Duration::from_secs(8);
@@ -293,8 +296,9 @@
     /// `false`: the job's record would outgrow a value. What is admitted has to
     /// end first; that makes it smaller again.
     fn admit_to(&mut self, id: &Arc<str>, block: u32, count: u32, round: &mut Round, now: Instant) -> bool {
+        let Some(job) = self.open_job(id) else { return false };
+        let ranges = job.unadmitted.head_from(self.admission_start(job, block), count);
         let Some(job) = self.open_job_mut(id) else { return false };
-        let ranges = job.unadmitted.head(count);
         let before = job.admitting.clone();
         let own = job.admitting.entry(block).or_default();
         *own = own.union(&ranges);
@@ -318,6 +322,30 @@
         true
     }
 
+    /// The task from which on a job's next tasks are admitted to a block. Each block
+    /// goes on where it left off in a part of a large job of its own: admitted as they
+    /// come, to many blocks by turns, its tasks would be in so many ranges that its
+    /// record, which names them, is full long before the fleet is.
+    fn admission_start(&self, job: &OpenJob, block: u32) -> u32 {
+        if (job.record.tasks as usize) < LARGE_PART * self.block_numbers().len() {
+            return 0;
+        }
+        let last = |ranges: &BTreeMap<u32, Ranges>| ranges.get(&block).and_then(Ranges::last);
+        if let Some(last) = last(&job.record.admitted).max(last(&job.admitting)) {
+            return last + 1;
+        }
+        // As many as a block full of the largest machines takes: this does not change
+        // while the fleet grows.
+        let types = self.catalog.iter().flat_map(|catalog| &catalog.machine_types);
+        let allowed = types.filter(|t| job.need.types.as_ref().is_none_or(|names| names.contains(&t.name)));
+        let on_one = allowed.map(|t| {
+            let capacity = Amounts::new(t.cpus, t.gpus, t.memory_gb);
+            job.need.amounts.times_in(&capacity)
+        });
+        let part = on_one.max().unwrap_or(1).max(1) as u64 * self.block_machines() as u64;
+        (u64::from(block) * part % u64::from(job.record.tasks)) as u32
+    }
+
     /// How many processors each block has that are up.
     pub(super) fn measure_blocks(&self, round: &mut Round) {
         for machine in self.machines.values().filter(|m| m.seems_open()) {
--- a/crates/dapplecroft-controller/src/ranges.rs
+++ b/crates/dapplecroft-controller/src/ranges.rs
@@ -76,6 +76,18 @@
         self.0.iter().map(|(a, b)| b - a + 1).sum()
     }
 
+    /// Up to `count` numbers, the smallest from `start` on first, then the smallest.
+    pub fn head_from(&self, start: u32, count: u32) -> Ranges {
+        let taken = self.without(&Ranges::below(start)).head(count);
+        let rest = self.without(&taken).head(count - taken.len());
+        taken.union(&rest)
+    }
+
+    /// The largest number.
+    pub fn last(&self) -> Option<u32> {
+        self.0.last().map(|(_, b)| *b)
+    }
+
     /// The smallest number.
     pub fn first(&self) -> Option<u32> {
         self.0.first().map(|(a, _)| *a)
--- a/crates/dapplecroft-controller/src/ranges/tests.rs
+++ b/crates/dapplecroft-controller/src/ranges/tests.rs
@@ -26,6 +26,10 @@
         assert_eq!(chunks.iter().fold(Ranges::default(), |all, c| all.union(c)), r);
         assert_eq!(r.len() as usize, set(x).len());
         assert_eq!(r.first(), set(x).first().copied());
+        assert_eq!(r.last(), set(x).last().copied());
+        let own = set(x);
+        let from = own.range(3..).chain(own.range(..3)).take(3).copied().collect::<BTreeSet<u32>>();
+        assert_eq!(r.head_from(3, 3), Ranges::ascending(from));
         assert_eq!(r.head(2).iter().collect::<Vec<_>>(), set(x).into_iter().take(2).collect::<Vec<_>>());
         assert!((0..7).all(|n| r.contains(n) == set(x).contains(&n)));
     }
--- a/crates/dapplecroft-controller/tests/stories/main.rs
+++ b/crates/dapplecroft-controller/tests/stories/main.rs
@@ -12,6 +12,7 @@
 mod five;
 mod fleet;
 mod gap;
+mod large_fleet;
 mod late;
 mod limits;
 mod restarts;
--- a/crates/dapplecroft-fakes/src/cloud.rs
+++ b/crates/dapplecroft-fakes/src/cloud.rs
@@ -1,6 +1,6 @@
 //! A cloud in memory.
 
-use crate::net::{Handler, Net};
+use crate::net::{Handler, Net, Query};
 use crate::referee::Referee;
 use crate::worker::{FakeWorker, WorkerTiming};
 use async_trait::async_trait;
@@ -13,6 +13,9 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
+/// The most machines of one page of the list.
+const MAX_LISTED: usize = 500;
+
 struct Rented {
     machine_type: String,
     zone: String,
@@ -205,21 +208,28 @@
         std::iter::once("z".to_string()).chain(inner.zones.iter().cloned()).collect()
     }
 
-    fn list(&self) -> Response {
+    /// A page of the list: what follows `from`, and no more than the protocol allows.
+    fn list(&self, path: &str) -> Response {
         let inner = self.inner.lock().unwrap();
         let Some(at) = Instant::now().checked_sub(self.lag + inner.older) else {
             return answer(200, json!({"holdings": [], "truncated": false}));
         };
-        let list: Vec<Value> = inner
+        let query = Query::new(path);
+        let from = query.text("from");
+        let limit = usize::try_from(query.number("limit")).unwrap_or(MAX_LISTED).clamp(1, MAX_LISTED);
+        let mut listed = inner
             .machines
             .iter()
-            .filter(|(_, m)| m.since <= at && m.gone.is_none_or(|gone| gone > at))
+            .filter(|(id, m)| **id > from && m.since <= at && m.gone.is_none_or(|gone| gone > at));
+        let list: Vec<Value> = listed
+            .by_ref()
+            .take(limit)
             .map(|(id, m)| {
                 json!({"id": id, "address": format!("w:{id}"), "hull": m.machine_type, "yard": m.zone,
                     "loaners": m.spot, "stage": "running", "held_s": (at - m.since).as_secs_f64()})
             })
             .collect();
-        answer(200, json!({"holdings": list, "truncated": false}))
+        answer(200, json!({"holdings": list, "truncated": listed.next().is_some()}))
     }
 }
 
@@ -247,7 +257,7 @@
                 }
                 Err(_) => answer(400, json!({"error": "malformed"})),
             },
-            _ => self.list(),
+            _ => self.list(path),
         }
     }
 }
--- a/crates/dapplecroft-fakes/src/net.rs
+++ b/crates/dapplecroft-fakes/src/net.rs
@@ -237,3 +237,22 @@
         }
     }
 }
+
+/// The query of a path.
+pub(crate) struct Query(Vec<(String, String)>);
+
+impl Query {
+    pub(crate) fn new(path: &str) -> Query {
+        let query = path.split_once('?').map_or("", |(_, q)| q);
+        let pairs = query.split('&').filter_map(|p| p.split_once('='));
+        Query(pairs.map(|(k, v)| (k.to_string(), v.to_string())).collect())
+    }
+
+    pub(crate) fn text(&self, name: &str) -> String {
+        self.0.iter().find(|(k, _)| k == name).map(|(_, v)| v.clone()).unwrap_or_default()
+    }
+
+    pub(crate) fn number(&self, name: &str) -> u64 {
+        self.text(name).parse().unwrap_or(0)
+    }
+}
--- a/crates/dapplecroft-fakes/src/state.rs
+++ b/crates/dapplecroft-fakes/src/state.rs
@@ -1,6 +1,6 @@
 //! A state service in memory.
 
-use crate::net::Handler;
+use crate::net::{Handler, Query};
 use async_trait::async_trait;
 use dapplecroft_net::Response;
 use dapplecroft_wire::state::{Change, Transaction};
@@ -11,6 +11,11 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
+/// The most keys of one page of a listing.
+const MAX_LISTED: usize = 1000;
+/// The most bytes of one page of a listing.
+const MAX_LISTED_BYTES: usize = 512 * 1024;
+
 struct Entry {
     data: Value,
     stamp: u64,
@@ -236,14 +241,20 @@
             };
         }
         let query = Query::new(path);
-        let prefix = query.text("starts");
-        let items: Vec<Value> = inner
-            .keys
-            .iter()
-            .filter(|(k, _)| k.starts_with(&prefix))
-            .map(|(k, e)| json!({"k": k, "data": e.data, "stamp": e.stamp}))
-            .collect();
-        answer(200, json!({"items": items, "truncated": false, "ledger": inner.ledger}))
+        let (prefix, from) = (query.text("starts"), query.text("from"));
+        let limit = usize::try_from(query.number("limit")).unwrap_or(MAX_LISTED).clamp(1, MAX_LISTED);
+        let (mut items, mut bytes) = (Vec::new(), 0);
+        let mut truncated = false;
+        for (key, entry) in inner.keys.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > from) {
+            let item = json!({"k": key, "data": entry.data, "stamp": entry.stamp});
+            bytes += item.to_string().len();
+            if items.len() == limit || bytes > MAX_LISTED_BYTES {
+                truncated = true;
+                break;
+            }
+            items.push(item);
+        }
+        answer(200, json!({"items": items, "truncated": truncated, "ledger": inner.ledger}))
     }
 
     async fn follow(&self, from_host: &str, path: &str) -> Response {
@@ -355,24 +366,6 @@
     }
 }
 
-struct Query(Vec<(String, String)>);
-
-impl Query {
-    fn new(path: &str) -> Query {
-        let query = path.split_once('?').map_or("", |(_, q)| q);
-        let pairs = query.split('&').filter_map(|p| p.split_once('='));
-        Query(pairs.map(|(k, v)| (k.to_string(), v.to_string())).collect())
-    }
-
-    fn text(&self, name: &str) -> String {
-        self.0.iter().find(|(k, _)| k == name).map(|(_, v)| v.clone()).unwrap_or_default()
-    }
-
-    fn number(&self, name: &str) -> u64 {
-        self.text(name).parse().unwrap_or(0)
-    }
-}
-
 #[async_trait]
 impl Handler for FakeState {
     async fn handle(&self, from: &str, method: Method, path: &str, body: &[u8]) -> Response {
--- a/crates/dapplecroft-net/src/lib.rs
+++ b/crates/dapplecroft-net/src/lib.rs
@@ -40,6 +40,9 @@
     pub body: Bytes,
 }
 
+/// What is told of an answer that is larger than this process takes.
+const TOO_LARGE_ANSWER: &str = "the answer is too large";
+
 /// Why there is no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Failure {
@@ -47,6 +50,8 @@
     NotSent(String),
     /// The request may have been executed, or may yet be.
     Unknown(String),
+    /// The request was executed; its answer is larger than this process takes.
+    TooLarge,
 }
 
 /// What came of a request: done, refused (certainly not executed), or unknown
@@ -85,6 +90,7 @@
         match failure {
             Failure::NotSent(e) => Outcome::Refused(e),
             Failure::Unknown(e) => Outcome::Unknown(e),
+            Failure::TooLarge => Outcome::Unknown(TOO_LARGE_ANSWER.into()),
         }
     }
 }
--- a/crates/dapplecroft-net/src/sockets/tests.rs
+++ b/crates/dapplecroft-net/src/sockets/tests.rs
@@ -33,3 +33,21 @@
     drop(users);
     assert!(sockets.open().is_some());
 }
+
+// Two of three controllers have ended, and 4,000 workers report to the one that is
+// left, which has fewer sockets than that: each has its turn between two reports.
+#[test]
+fn more_workers_than_sockets_are_answered_in_turn() {
+    let sockets = Sockets::new(3000);
+    let (mut waiting, mut answered) = (4000, 0);
+    let mut rounds = 0;
+    while waiting > 0 {
+        let connected: Vec<Socket> = (0..waiting).map_while(|_| sockets.open()).collect();
+        assert!(sockets.scarce() || connected.len() == waiting, "connections end with their answers");
+        waiting -= connected.len();
+        answered += connected.len();
+        rounds += 1;
+    }
+    assert_eq!((answered, rounds), (4000, 2), "within two reports");
+    assert!(sockets.take_shed() > 0);
+}
--- a/crates/dapplecroft-net/src/tcp.rs
+++ b/crates/dapplecroft-net/src/tcp.rs
@@ -3,7 +3,7 @@
 use crate::{Failure, Request, Response, Sockets, Transport};
 use async_trait::async_trait;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use std::sync::Arc;
@@ -72,7 +72,10 @@
             let body = Limited::new(answer.into_body(), MAX_ANSWER)
                 .collect()
                 .await
-                .map_err(|e| Failure::Unknown(e.to_string()))?
+                .map_err(|e| match e.downcast_ref::<LengthLimitError>() {
+                    Some(_) => Failure::TooLarge,
+                    None => Failure::Unknown(e.to_string()),
+                })?
                 .to_bytes();
             Ok(Response { status, body })
         };
--- a/crates/dapplecroft-state/src/lib.rs
+++ b/crates/dapplecroft-state/src/lib.rs
@@ -37,7 +37,8 @@
 pub enum Watched {
     /// Changes after the given revision.
     Changes(Followed),
-    /// The revision is too old: read the keys again.
+    /// The revision is too old, or too much has changed since for one answer: read
+    /// the keys again.
     TooOld,
 }
 
@@ -113,13 +114,13 @@
         self.requests.room()
     }
 
-    async fn call(
+    async fn send(
         &self,
         method: Method,
         path: String,
         body: Vec<u8>,
         timeout: Duration,
-    ) -> Outcome<Response> {
+    ) -> Result<Response, Failure> {
         let request = Request {
             address: self.address.clone(),
             method,
@@ -128,14 +129,17 @@
             timeout,
             one_of_many: false,
         };
-        match self.transport.send(request).await {
-            // 429 and 503 say that the request was not executed.
-            Ok(r) if r.status == 503 => Outcome::Refused(OUTAGE.into()),
-            Ok(r) if r.status == 429 => Outcome::Refused(RATE.into()),
-            Ok(r) => Outcome::Done(r),
-            Err(Failure::NotSent(e)) => Outcome::Refused(e),
-            Err(Failure::Unknown(e)) => Outcome::Unknown(e),
-        }
+        self.transport.send(request).await
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: String,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Outcome<Response> {
+        status_outcome(self.send(method, path, body, timeout).await)
     }
 
     /// Reads one key, with the revision at which it was so; no item if it does
@@ -252,15 +256,30 @@
         let path = format!("/follow?starts={prefix}&from={from}&wait_ms={}", wait.as_millis());
         // An open watch remains open through an outage, but a connection can
         // also be dead without a word; what a late answer says is read again.
-        match self.call(Method::GET, path, Vec::new(), wait + TIMEOUT).await {
-            Outcome::Done(r) if r.status == 410 => Outcome::Done(Watched::TooOld),
-            Outcome::Done(r) => read::<Followed>(&r).map(Watched::Changes),
-            Outcome::Refused(e) => Outcome::Refused(e),
-            Outcome::Unknown(e) => Outcome::Unknown(e),
+        match self.send(Method::GET, path, Vec::new(), wait + TIMEOUT).await {
+            // All that has changed comes in one answer, however large: asked again
+            // from the same revision it would only grow.
+            Err(Failure::TooLarge) => Outcome::Done(Watched::TooOld),
+            result => match status_outcome(result) {
+                Outcome::Done(r) if r.status == 410 => Outcome::Done(Watched::TooOld),
+                Outcome::Done(r) => read::<Followed>(&r).map(Watched::Changes),
+                Outcome::Refused(e) => Outcome::Refused(e),
+                Outcome::Unknown(e) => Outcome::Unknown(e),
+            },
         }
     }
 }
 
+/// What came of a request by its status: 429 and 503 say that it was not executed.
+fn status_outcome(result: Result<Response, Failure>) -> Outcome<Response> {
+    match result {
+        Ok(r) if r.status == 503 => Outcome::Refused(OUTAGE.into()),
+        Ok(r) if r.status == 429 => Outcome::Refused(RATE.into()),
+        Ok(r) => Outcome::Done(r),
+        Err(failure) => failure.into(),
+    }
+}
+
 /// Reads a body; a bad answer of the service is an unknown outcome.
 fn read<T: DeserializeOwned>(response: &Response) -> Outcome<T> {
     if response.status != 200 {
@@ -278,3 +297,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/dapplecroft/src/options.rs
+++ b/crates/dapplecroft/src/options.rs
@@ -24,6 +24,9 @@
     },
 }
 
+/// The greatest number of machines that a setting may name: far above any fleet.
+const MAX_MACHINES: f64 = 1_000_000.0;
+
 const DESCRIPTORS: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/options.bin"));
 
 /// Reads and checks operators' settings; what is not set keeps its default.
@@ -66,10 +69,10 @@
     if let Some(most) = number("max_requests", 1.0, 10000.0)? {
         options.max_requests = most as usize;
     }
-    if let Some(machines) = number("block_machines", 1.0, 1000.0)? {
+    if let Some(machines) = number("block_machines", 1.0, MAX_MACHINES)? {
         options.block_machines = Some(machines as usize);
     }
-    if let Some(machines) = number("standby_machines", 0.0, 1000.0)? {
+    if let Some(machines) = number("standby_machines", 0.0, MAX_MACHINES)? {
         options.standby_machines = machines as usize;
     }
     let flag = |field: &str, default: bool| match message.get_field_by_name(field).as_deref() {
--- a/crates/dapplecroft/src/options/tests.rs
+++ b/crates/dapplecroft/src/options/tests.rs
@@ -18,3 +18,13 @@
     assert!(parse("drain_triger: 1").unwrap_err().to_string().contains("drain_triger"));
     assert!(parse("node_lease_s: nan").is_err());
 }
+
+#[test]
+fn machines_of_large_fleets_can_be_named() {
+    let options = parse("block_machines: 4000 standby_machines: 4000").unwrap();
+    assert_eq!((options.block_machines, options.standby_machines), (Some(4000), 4000));
+    assert_eq!(
+        parse("block_machines: 0").unwrap_err().to_string(),
+        "block_machines: must be from 1 to 1000000, is 0"
+    );
+}
