Whether a job is large is told without counting the groups

No job there is large enough for a range of its own for each block, but each admission counted all groups to tell.

Change: the number of leased blocks is asked instead.

--- a/crates/dapplecroft-controller/src/core/admission.rs
+++ b/crates/dapplecroft-controller/src/core/admission.rs
@@ -327,7 +327,7 @@
     /// come, to many blocks by turns, its tasks would be in so many ranges that its
     /// record, which names them, is full long before the fleet is.
     fn admission_start(&self, job: &OpenJob, block: u32) -> u32 {
-        if (job.record.tasks as usize) < LARGE_PART * self.block_numbers().len() {
+        if (job.record.tasks as usize) < LARGE_PART * self.blocks.len() {
             return 0;
         }
         let last = |ranges: &BTreeMap<u32, Ranges>| ranges.get(&block).and_then(Ranges::last);
