--- a/crates/dapplecroft-federation/tests/random.rs
+++ b/crates/dapplecroft-federation/tests/random.rs
@@ -183,22 +183,31 @@
                     self.watermarks[cell] = raised;
                 }
             }
-            Event::Start { job, cell } => {
-                let visited = &mut self.visited[cell][job];
+            Event::Start { job, cell }
+            | Event::End { job, cell }
+            | Event::Return { job, cell }
+            | Event::Prune { job, cell } => self.happen_at_visitor(event, job, cell),
+        }
+    }
+
+    /// What a visited cell does by itself.
+    fn happen_at_visitor(&mut self, event: &Event, job: usize, cell: usize) {
+        let mark = self.watermarks[cell];
+        let visited = &mut self.visited[cell][job];
+        match event {
+            Event::Start { .. } => {
                 if matches!(visited.job, Some((_, TransferState::Accepted { .. }))) {
                     (visited.runs, visited.ever_ran) = (true, true);
                 }
             }
-            Event::End { job, cell } => {
-                let visited = &mut self.visited[cell][job];
+            Event::End { .. } => {
                 if visited.runs {
                     visited.runs = false;
                     visited.job = visited.job.map(|(epoch, _)| (epoch, TransferState::Done { done: 1 }));
                     self.completions[job] += 1;
                 }
             }
-            Event::Return { job, cell } => {
-                let visited = &mut self.visited[cell][job];
+            Event::Return { .. } => {
                 if let Some((epoch, TransferState::Accepted { .. })) = visited.job
                     && !visited.ever_ran
                 {
@@ -206,9 +215,7 @@
                     visited.refused = Some(RefusalRecord { epoch });
                 }
             }
-            Event::Prune { job, cell } => {
-                let mark = self.watermarks[cell];
-                let visited = &mut self.visited[cell][job];
+            Event::Prune { .. } => {
                 if visited.refused.is_some_and(|refusal| is_prunable(refusal.epoch, 1, &mark)) {
                     visited.refused = None;
                 }
@@ -219,6 +226,7 @@
                     (visited.job, visited.ever_ran) = (None, false);
                 }
             }
+            _ => {}
         }
     }
 
