Hand-overs in the controller: records, loops, messages and first stories (in progress)

Need: cells that spill over. Change: a job that found no room is offered to another cell by its leader, which commits that first; the other cell's leader commits acceptance or refusal before it answers; users of a job's home cell alone hear of it. Off unless a federation is set. Stories with three cells of three controllers.

--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -1,11 +1,11 @@
 //! The copy of the records, and what follows from each change of it.
 
 use super::{Core, Subject};
-use crate::jobs::{Job, OpenJob, Placed, Stop, TaskId};
+use crate::jobs::{AwayJob, Job, OpenJob, Placed, Stop, TaskId};
 use crate::legacy;
 use crate::records::{
-    BlockRecord, CompletedTasksRecord, JobRecord, Key, LayoutRecord, LeaderRecord, LiveRecord, ShardId,
-    ShardRecord,
+    BlockRecord, CompletedTasksRecord, JobRecord, JobStage, Key, LayoutRecord, LeaderRecord, LiveRecord,
+    ShardId, ShardRecord,
 };
 use dapplecroft_wire::cloud::{Catalog, MachineType};
 use dapplecroft_wire::state::{Followed, Item};
@@ -133,11 +133,8 @@
                     self.apply_mark(host, record);
                 }
             }
-            Some(Key::Job(id)) => {
-                if let Some(record) = value.and_then(|v| self.readable(key, legacy::read_job(v))) {
-                    self.apply_job(id, record, version, now);
-                }
-            }
+            Some(parsed @ (Key::Refusal(..) | Key::Watermark(_))) => self.apply_transfer(key, parsed, value),
+            Some(Key::Job(id)) => self.apply_job_value(key, id, value, version, now),
             Some(Key::CompletedTasks(id, part)) => {
                 let record = self.read::<CompletedTasksRecord>(key, value);
                 self.apply_completed_tasks(id, part, record);
@@ -306,8 +303,44 @@
         }
     }
 
+    /// What was refused of another cell's transfers, or finished of them there.
+    fn apply_transfer(&mut self, key: &str, parsed: Key, value: Option<Value>) {
+        match parsed {
+            Key::Refusal(cell, incarnation, job) => {
+                let record = self.read(key, value);
+                self.federation.apply_refusal(cell, incarnation, job, record);
+            }
+            Key::Watermark(cell) => {
+                let record = self.read(key, value);
+                self.federation.apply_watermark(cell, record);
+            }
+            _ => {}
+        }
+    }
+
+    fn apply_job_value(&mut self, key: &str, id: &str, value: Option<Value>, version: u64, now: Instant) {
+        let Some(value) = value else {
+            return self.apply_dropped_job(id);
+        };
+        if let Some(record) = self.readable(key, legacy::read_job(value)) {
+            self.apply_job(id, record, version, now);
+        }
+    }
+
+    /// Only jobs of other cells are ever dropped: given back, or long over.
+    fn apply_dropped_job(&mut self, id: &str) {
+        let id: Arc<str> = id.into();
+        self.forget_job(&id);
+        self.jobs.remove(&id);
+        self.federation.visits.remove(&id);
+    }
+
     fn apply_job(&mut self, id: &str, record: JobRecord, version: u64, now: Instant) {
         let id: Arc<str> = id.into();
+        match &record.origin {
+            Some(origin) => self.federation.visits.insert(id.clone(), origin.clone()),
+            None => self.federation.visits.remove(&id),
+        };
         if record.spec.is_none() {
             // Final for good: everything about it can be forgotten but this.
             self.forget_job(&id);
@@ -315,6 +348,9 @@
             self.jobs.insert(id, Job::Final { stage: record.stage, done });
             return;
         }
+        if record.stage == JobStage::Away {
+            return self.apply_away_job(&id, record, version);
+        }
         match self.jobs.get_mut(&id) {
             Some(Job::Final { .. }) => return,
             Some(Job::Open(job)) => {
@@ -337,7 +373,7 @@
                 job.record = record;
                 job.version = version;
             }
-            None => {
+            Some(Job::Away(_)) | None => {
                 let Some(job) = OpenJob::new(record, version, now) else { return };
                 let mut job = job;
                 job.completed_records = self.completed_records.get(&id).cloned().unwrap_or_default();
@@ -361,6 +397,22 @@
         self.finish_if_over(&id);
     }
 
+    /// A job that is away takes no part in anything here.
+    fn apply_away_job(&mut self, id: &Arc<str>, record: JobRecord, version: u64) {
+        let heard = match self.jobs.get(id) {
+            Some(Job::Final { .. }) => return,
+            Some(Job::Away(job))
+                if job.record.away.as_ref().map(|a| a.epoch) == record.away.as_ref().map(|a| a.epoch) =>
+            {
+                job.heard
+            }
+            _ => None,
+        };
+        self.forget_job(id);
+        self.jobs.insert(id.clone(), Job::Away(Box::new(AwayJob { record, version, heard })));
+        self.wakeups.federation = true;
+    }
+
     /// Asks for the end of all tasks of a withdrawn job.
     fn stop_withdrawn(&mut self, id: &Arc<str>) {
         let Some(Job::Open(job)) = self.jobs.get_mut(id) else { return };
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -11,6 +11,7 @@
 mod copy;
 mod displace;
 mod drain;
+mod federation;
 mod fleet;
 mod groups;
 mod idle_reserve;
@@ -30,6 +31,7 @@
 pub use blocks::{BlockLease, LeaseGrant};
 pub use capacity_usage::CapacityUsage;
 pub use commit::{Subject, UnitEnd, WorkUnit};
+pub use federation::{AwayRequest, NotAway, OfferUnit, VisitPlan, VisitRequest};
 pub use fleet::{FleetActions, MAX_CONSULTED};
 pub use groups::GroupUnit;
 pub use session::{CommandEnd, ReportAnswer};
@@ -82,6 +84,8 @@
     pub role: bool,
     /// The fleet may need a change.
     pub fleet: bool,
+    /// A job is away, or its user wants it cancelled there.
+    pub federation: bool,
     /// This process must end.
     pub end: bool,
 }
@@ -239,6 +243,8 @@
     fleet: fleet::FleetState,
     draining: drain::DrainState,
     displaced: Option<Instant>,
+    /// What is known of hand-overs to and from other cells.
+    pub(crate) federation: federation::FederationState,
     /// The time of day at the last round, in seconds since 1970.
     wall: f64,
 }
@@ -295,6 +301,7 @@
             fleet: fleet::FleetState::default(),
             draining: drain::DrainState::default(),
             displaced: None,
+            federation: federation::FederationState::default(),
             wall: 0.0,
         }
     }
--- a/crates/dapplecroft-controller/src/core/roles.rs
+++ b/crates/dapplecroft-controller/src/core/roles.rs
@@ -60,6 +60,7 @@
     /// Takes note of having become leader.
     pub fn lead(&mut self, version: u64) {
         self.role.leadership = Some(version);
+        self.federation.begin_term();
         self.fleet = fleet::FleetState::default();
         self.groups.retain(|_, g| g.version > 0);
         self.wakeups.role = true;
--- a/crates/dapplecroft-controller/src/jobs.rs
+++ b/crates/dapplecroft-controller/src/jobs.rs
@@ -2,6 +2,7 @@
 
 use crate::ranges::Ranges;
 use crate::records::{JobRecord, JobStage, ShardId};
+use dapplecroft_federation::TransferState;
 use dapplecroft_sched::{Amounts, Checkpoints, Need, Progress};
 use dapplecroft_wire::users::{JobSpec, JobStatus, Rank, Stage};
 use std::collections::{BTreeMap, BTreeSet};
@@ -142,10 +143,36 @@
         /// Completed tasks.
         done: u32,
     },
+    /// Offered to another cell: nothing of it is here.
+    Away(Box<AwayJob>),
     /// All others.
     Open(Box<OpenJob>),
 }
 
+/// A job that another cell was offered and may have.
+#[derive(Debug, Clone)]
+pub struct AwayJob {
+    /// The record.
+    pub record: JobRecord,
+    /// Its version.
+    pub version: u64,
+    /// What the other cell last answered to this process.
+    pub heard: Option<TransferState>,
+}
+
+impl AwayJob {
+    /// The answer to its user: what runs is told by the other cell, if it has been
+    /// heard.
+    fn status(&self, id: &str) -> JobStatus {
+        let (done, running) = match self.heard {
+            Some(TransferState::Accepted { done, running }) => (done, running),
+            _ => (0, 0),
+        };
+        let stage = if running > 0 { Stage::Running } else { Stage::Queued };
+        JobStatus { id: id.to_string(), stage, done: Some(done), running: Some(running) }
+    }
+}
+
 impl OpenJob {
     /// A job from its record; `None` if the record holds no specification.
     pub fn new(record: JobRecord, version: u64, now: Instant) -> Option<OpenJob> {
@@ -305,7 +332,7 @@
 
     /// Whether tasks may be placed.
     pub fn is_open(&self) -> bool {
-        self.record.stage == JobStage::Open
+        matches!(self.record.stage, JobStage::Open | JobStage::Visiting)
     }
 
     /// The next attempt of a task.
@@ -342,8 +369,8 @@
         let stage = match self.record.stage {
             JobStage::Withdrawn => Stage::Withdrawn,
             JobStage::Done => Stage::Done,
-            JobStage::Open if running > 0 => Stage::Running,
-            JobStage::Open => Stage::Queued,
+            JobStage::Open | JobStage::Visiting | JobStage::Away if running > 0 => Stage::Running,
+            JobStage::Open | JobStage::Visiting | JobStage::Away => Stage::Queued,
         };
         JobStatus { id: id.to_string(), stage, done: Some(self.done.len()), running: Some(running) }
     }
@@ -358,6 +385,7 @@
     pub fn status(&self, id: &str) -> JobStatus {
         match self {
             Job::Open(job) => job.status(id),
+            Job::Away(job) => job.status(id),
             Job::Final { stage, done } => JobStatus {
                 id: id.to_string(),
                 stage: if *stage == JobStage::Done { Stage::Done } else { Stage::Withdrawn },
--- a/crates/dapplecroft-controller/src/legacy.rs
+++ b/crates/dapplecroft-controller/src/legacy.rs
@@ -95,6 +95,8 @@
         done: old.done,
         at: old.at,
         spec: old.spec,
+        away: None,
+        origin: None,
     })
 }
 
--- a/crates/dapplecroft-controller/src/lib.rs
+++ b/crates/dapplecroft-controller/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! [`Transport`]: dapplecroft_net::Transport
 
+pub mod cells;
 pub mod core;
 pub mod jobs;
 pub mod legacy;
@@ -18,6 +19,7 @@
 pub mod records;
 mod users;
 
+pub use cells::{Cells, ExchangeError, NoCells};
 pub use node::{Node, Parts, Reply};
 pub use options::Options;
 pub use peers::{NoPeers, PeerService, Peers};
--- a/crates/dapplecroft-controller/src/loops.rs
+++ b/crates/dapplecroft-controller/src/loops.rs
@@ -2,6 +2,7 @@
 //! wanted and what is, and carries it out.
 
 mod election;
+mod federation;
 mod fleet;
 mod follow;
 mod work;
@@ -27,6 +28,7 @@
         loops.spawn(self.clone().health_loop());
         loops.spawn(self.clone().summary_loop());
         loops.spawn(self.clone().room_loop());
+        self.spawn_federation_loops(&mut loops);
         let node = self.clone();
         loops.spawn(async move { node.committer.run(node.state.clone()).await });
         tokio::select! {
--- a/crates/dapplecroft-controller/src/node.rs
+++ b/crates/dapplecroft-controller/src/node.rs
@@ -1,10 +1,12 @@
 //! One controller: the core behind a lock, its clients, and request handling.
 
+use crate::cells::Cells;
 use crate::core::{Core, ReportAnswer, Wakeups};
 use crate::options::Options;
 use crate::peers::Peers;
 use bytes::Bytes;
 use dapplecroft_cloud::CloudClient;
+use dapplecroft_federation::SummaryBook;
 use dapplecroft_net::Transport;
 use dapplecroft_state::{Committer, StateClient};
 use dapplecroft_wire::settings::Settings;
@@ -32,6 +34,8 @@
     pub transport: Arc<dyn Transport>,
     /// The other controllers.
     pub peers: Arc<dyn Peers>,
+    /// Other cells.
+    pub cells: Arc<dyn Cells>,
     /// The time of day.
     pub wall: fn() -> SystemTime,
     /// Seed of what little chance there is (who stands for election when).
@@ -87,6 +91,7 @@
     pub(crate) options: Options,
     pub(crate) transport: Arc<dyn Transport>,
     pub(crate) peers: Arc<dyn Peers>,
+    pub(crate) cells: Arc<dyn Cells>,
     pub(crate) state: Arc<StateClient>,
     pub(crate) cloud: CloudClient,
     pub(crate) committer: Committer,
@@ -102,6 +107,7 @@
     pub(crate) wake_role: Notify,
     pub(crate) wake_heartbeat: Notify,
     pub(crate) wake_fleet: Notify,
+    pub(crate) wake_federation: Notify,
     pub(crate) wake_end: Notify,
     pub(crate) to_command: Mutex<BTreeSet<Arc<str>>>,
     pub(crate) requests: AtomicUsize,
@@ -117,6 +123,10 @@
     pub(crate) consulting: AtomicBool,
     /// How many silent machines the others were asked about so far.
     pub(crate) consulted: AtomicUsize,
+    /// What other cells have told of themselves.
+    pub(crate) summaries: Mutex<SummaryBook>,
+    /// How many requests of other cells are being worked on.
+    pub(crate) exchanging: AtomicUsize,
     /// When the state service last answered this node's lease renewal.
     pub(crate) touched: Mutex<Option<Instant>>,
 }
@@ -155,6 +165,7 @@
             options: parts.options,
             transport: parts.transport,
             peers: parts.peers,
+            cells: parts.cells,
             state: Arc::new(state),
             cloud,
             wall: parts.wall,
@@ -168,6 +179,7 @@
             wake_role: Notify::new(),
             wake_heartbeat: Notify::new(),
             wake_fleet: Notify::new(),
+            wake_federation: Notify::new(),
             wake_end: Notify::new(),
             to_command: Mutex::default(),
             requests: AtomicUsize::new(0),
@@ -177,6 +189,8 @@
             borrowed: Mutex::default(),
             consulting: AtomicBool::new(false),
             consulted: AtomicUsize::new(0),
+            summaries: Mutex::default(),
+            exchanging: AtomicUsize::new(0),
             touched: Mutex::default(),
         })
     }
@@ -206,6 +220,9 @@
         if wakeups.fleet {
             self.wake_fleet.notify_one();
         }
+        if wakeups.federation {
+            self.wake_federation.notify_waiters();
+        }
         if wakeups.end {
             self.wake_end.notify_one();
         }
--- a/crates/dapplecroft-controller/src/options.rs
+++ b/crates/dapplecroft-controller/src/options.rs
@@ -1,5 +1,6 @@
 //! Operators' own settings with their defaults.
 
+use dapplecroft_federation::Federation;
 use std::time::Duration;
 
 /// What operators may tune, beyond what the platform hands over.
@@ -33,6 +34,8 @@
     pub standby_machines: usize,
     /// Users' requests worked on at a time; more get 503.
     pub max_requests: usize,
+    /// The federation of cells that this one belongs to, if any.
+    pub federation: Option<Federation>,
 }
 
 impl Default for Options {
@@ -50,6 +53,7 @@
             block_machines: None,
             standby_machines: 6,
             max_requests: 256,
+            federation: None,
         }
     }
 }
--- a/crates/dapplecroft-controller/src/records.rs
+++ b/crates/dapplecroft-controller/src/records.rs
@@ -4,6 +4,7 @@
 //! which alone knows how it was written; all other code knows only these types.
 
 use crate::ranges::Ranges;
+use dapplecroft_federation::{AwayRecord, Origin};
 use dapplecroft_wire::users::JobSpec;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -66,6 +67,16 @@
     format!("dc/v/{host}")
 }
 
+/// The key of a transfer from another cell that was refused or given back.
+pub fn refusal_key(cell: &str, incarnation: u64, job: &str) -> String {
+    format!("dc/x/r/{cell}/{incarnation}/{job}")
+}
+
+/// The key of what another cell has finished of its transfers to this one.
+pub fn watermark_key(cell: &str) -> String {
+    format!("dc/x/w/{cell}")
+}
+
 /// A shard of what runs in a block: a bounded record of some of its machines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ShardId {
@@ -120,6 +131,10 @@
     Live(&'a str),
     /// The layout that a controller was once seen to know.
     Mark(&'a str),
+    /// A refused transfer: the other cell, its incarnation, and the job.
+    Refusal(&'a str, u64, &'a str),
+    /// What another cell has finished of its transfers.
+    Watermark(&'a str),
 }
 
 impl<'a> Key<'a> {
@@ -146,10 +161,24 @@
                     Key::Shard(ShardId::new(block.parse().ok()?, shard.parse().ok()?))
                 }
                 ("v", host) => Key::Mark(host),
+                ("x", rest) => Key::parse_transfer(rest)?,
                 _ => return None,
             },
         })
     }
+
+    fn parse_transfer(rest: &'a str) -> Option<Key<'a>> {
+        let (kind, rest) = rest.split_once('/')?;
+        match kind {
+            "w" => Some(Key::Watermark(rest)),
+            "r" => {
+                let (cell, rest) = rest.split_once('/')?;
+                let (incarnation, job) = rest.split_once('/')?;
+                Some(Key::Refusal(cell, incarnation.parse().ok()?, job))
+            }
+            _ => None,
+        }
+    }
 }
 
 /// How many bytes a value takes in the state service at most, however it writes
@@ -158,7 +187,8 @@
     value.to_string().chars().map(|c| if c.is_ascii() { 1 } else { 6 * c.len_utf16() }).sum()
 }
 
-/// Where a job stands.
+/// Where a job stands. A version that knows nothing of other cells can read neither
+/// `Away` nor `Visiting`: it leaves such records as they are, and acts on none.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum JobStage {
@@ -168,6 +198,10 @@
     Done,
     /// Cancelled by its user.
     Withdrawn,
+    /// Offered to another cell, which may have it: nothing of it starts here.
+    Away,
+    /// Accepted for another cell, which answers for it to its user.
+    Visiting,
 }
 
 /// A job. Once it is over and none of its tasks is left on a machine, the
@@ -200,6 +234,12 @@
     /// The specification.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub spec: Option<JobSpec>,
+    /// The transfer under way, while it is away.
+    #[serde(rename = "aw", default, skip_serializing_if = "Option::is_none")]
+    pub away: Option<AwayRecord>,
+    /// Where it comes from, if another cell answers for it.
+    #[serde(rename = "or", default, skip_serializing_if = "Option::is_none")]
+    pub origin: Option<Origin>,
 }
 
 impl JobRecord {
@@ -213,6 +253,8 @@
             done: Some(done),
             at: self.at,
             spec: None,
+            away: None,
+            origin: self.origin.clone(),
         }
     }
 }
--- a/crates/dapplecroft-controller/src/users.rs
+++ b/crates/dapplecroft-controller/src/users.rs
@@ -24,6 +24,9 @@
 /// Bytes of a value that are kept for what is noted of a job later on.
 const NOTES: usize = 200;
 
+/// Seconds after which to ask again about a job that another cell answers for.
+const OTHER_CELL_RETRY: u32 = 5;
+
 /// Questions waiting for the state service beyond which reads are refused.
 const MAX_QUESTIONS: usize = 1000;
 
@@ -33,6 +36,8 @@
     Job(JobStatus),
     /// There is no such job.
     Nothing,
+    /// It is here for another cell, which alone answers for it.
+    OtherCell,
     /// It can't be told now.
     Unavailable,
 }
@@ -84,21 +89,24 @@
     async fn known(self: &Arc<Self>, id: &str) -> Known {
         let key = records::job_key(id);
         let version = self.with(|core| match core.jobs.get(id) {
+            _ if core.is_visiting(id) => Err(Known::OtherCell),
             Some(Job::Open(job)) if job.is_open() => Ok(job.version),
-            Some(job) => Err(job.status(id)),
+            Some(Job::Away(job)) => Ok(job.version),
+            Some(job) => Err(Known::Job(job.status(id))),
             None => Ok(0),
         });
         let version = match version {
             Ok(version) => version,
-            Err(status) => return Known::Job(status),
+            Err(known) => return known,
         };
         if self.ask(key, version).await == Answered::Unavailable {
             return Known::Unavailable;
         }
-        match self.with(|core| core.jobs.get(id).map(|job| job.status(id))) {
-            Some(status) => Known::Job(status),
+        self.with(|core| match core.jobs.get(id) {
+            _ if core.is_visiting(id) => Known::OtherCell,
+            Some(job) => Known::Job(job.status(id)),
             None => Known::Nothing,
-        }
+        })
     }
 
     /// Asks whether a key still has a version; if not, it is read again.
@@ -122,6 +130,7 @@
         match self.known(id).await {
             Known::Job(status) => Reply::json(200, &status),
             Known::Nothing => Reply::problem(404, "no such job"),
+            Known::OtherCell => other_cell(),
             Known::Unavailable => Reply::busy("state service out of reach", 1),
         }
     }
@@ -156,6 +165,8 @@
             done: None,
             at,
             spec: Some(spec),
+            away: None,
+            origin: None,
         };
         let value = self.with(|core| core.job_value(&record));
         if stored_size(&value) + NOTES > self.settings.params.state.lasting().value {
@@ -182,6 +193,7 @@
         match self.known(id).await {
             Known::Nothing => Reply::problem(status, error),
             Known::Job(status) => Reply::json(200, &status),
+            Known::OtherCell => other_cell(),
             Known::Unavailable => Reply::busy("state service out of reach", 1),
         }
     }
@@ -189,6 +201,7 @@
     async fn repeated(self: &Arc<Self>, id: &str) -> Reply {
         match self.known(id).await {
             Known::Job(status) => Reply::json(200, &status),
+            Known::OtherCell => other_cell(),
             Known::Nothing | Known::Unavailable => Reply::busy("state service out of reach", 1),
         }
     }
@@ -226,11 +239,15 @@
             let status = match self.known(id).await {
                 Known::Job(status) => status,
                 Known::Nothing => return Reply::problem(404, "no such job"),
+                Known::OtherCell => return other_cell(),
                 Known::Unavailable => return Reply::busy("state service out of reach", 1),
             };
             if matches!(status.stage, Stage::Done | Stage::Withdrawn) {
                 return Reply::json(200, &status);
             }
+            if self.with(|core| core.away_cell(id).is_some()) {
+                return self.withdraw_away(id).await;
+            }
             let key = records::job_key(id);
             let Some((record, version)) = self.with(|core| core.withdrawal(id)) else {
                 continue;
@@ -259,6 +276,11 @@
     }
 }
 
+/// A job that is here for another cell: only that one tells its user how it stands.
+fn other_cell() -> Reply {
+    Reply::busy("another cell answers for this job", OTHER_CELL_RETRY)
+}
+
 enum Judgement {
     Fits,
     Unknown,
--- a/crates/dapplecroft-controller/tests/stories/cluster.rs
+++ b/crates/dapplecroft-controller/tests/stories/cluster.rs
@@ -1,7 +1,7 @@
 //! Three controllers with a state service, a cloud and workers, in memory.
 
 use async_trait::async_trait;
-use dapplecroft_controller::{Node, Options, Parts, PeerService, Peers, Reply};
+use dapplecroft_controller::{Cells, NoCells, Node, Options, Parts, PeerService, Peers, Reply};
 use dapplecroft_fakes::{Action, FakeCloud, FakeState, Handler, Net, Referee, Rule, Told, WorkerTiming};
 use dapplecroft_net::Response;
 use dapplecroft_wire::peer::{ForwardRequest, RoomReply, SightReply};
@@ -20,7 +20,7 @@
 /// Controllers of most stories.
 const NODES: usize = 3;
 
-type Running = Arc<Mutex<BTreeMap<String, Arc<Node>>>>;
+pub type Running = Arc<Mutex<BTreeMap<String, Arc<Node>>>>;
 
 struct Front(Arc<Node>);
 
@@ -76,6 +76,8 @@
     /// How many controllers there are.
     pub nodes: usize,
     running: Running,
+    /// How other cells are reached.
+    pub cells: Mutex<Arc<dyn Cells>>,
     /// Controllers cut off from all others.
     pub apart: Apart,
     loops: Mutex<BTreeMap<String, JoinHandle<()>>>,
@@ -205,6 +207,7 @@
             options,
             nodes: size,
             running: Arc::default(),
+            cells: Mutex::new(Arc::new(NoCells)),
             apart: Arc::default(),
             loops: Mutex::default(),
             identities: Mutex::default(),
@@ -229,6 +232,7 @@
             options: self.options.clone(),
             identity: format!("process-{identity}"),
             transport: self.net.port(&host(n)),
+            cells: self.cells.lock().unwrap().clone(),
             peers: Arc::new(FakePeers {
                 running: self.running.clone(),
                 apart: self.apart.clone(),
@@ -253,6 +257,11 @@
         }
     }
 
+    /// The controllers' processes that are there, now and later.
+    pub fn running(&self) -> Running {
+        self.running.clone()
+    }
+
     pub fn node(&self, n: usize) -> Arc<Node> {
         self.running.lock().unwrap()[&host(n)].clone()
     }
--- /dev/null
+++ b/crates/dapplecroft-controller/tests/stories/federation.rs
@@ -0,0 +1,340 @@
+//! Cells that pass jobs to each other while leaders end, messages are lost, late and
+//! repeated, and state services refuse.
+
+use crate::cells::ThreeCells;
+use crate::cluster::{host, job, pause};
+use dapplecroft_federation::settings::RawFederation;
+use serde_json::json;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A cell that is full, and the others idle: the job that waits goes to one of them.
+async fn spilled(runs: u64) -> ThreeCells {
+    let c = ThreeCells::start([2, 6, 6], &[("run-1", 400), ("run-2", runs)]).await;
+    c.submit(0, "run-1", 2, 16.0).await;
+    c.until("the first cell is full", || c.cells[0].referee.on().len() == 2).await;
+    c.submit(0, "run-2", 4, 16.0).await;
+    c
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_that_has_no_room_runs_in_another_cell_and_its_user_hears_of_its_end_at_home() {
+    let c = spilled(10).await;
+    c.until("it visits", || c.visited(0, "run-2").is_some()).await;
+    let away = c.visited(0, "run-2").unwrap();
+    c.until("it runs there", || c.cells[away].referee.on().len() == 4).await;
+    pause(2.0).await;
+    let (status, answer) = c.cells[0].show(c.cells[0].leader().unwrap(), "run-2").await;
+    assert_eq!((status, answer["stage"].as_str()), (200, Some("running")));
+    // Only its home cell tells how it stands.
+    let (status, _) = c.cells[away].show(0, "run-2").await;
+    assert_eq!(status, 503);
+    c.cells[0].until_stage("run-2", "done").await;
+    assert!((0..4).all(|i| c.starts(&format!("run-2/{i}")) == 1));
+    // What the visited cell kept of it is dropped in the end.
+    c.until("nothing is left there", || c.recorded(away, "run-2").is_none()).await;
+    c.assert_rules_kept();
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Side {
+    Home,
+    Visitors,
+    Both,
+}
+
+impl Side {
+    fn cells(self) -> &'static [usize] {
+        match self {
+            Side::Home => &[0],
+            Side::Visitors => &[1, 2],
+            Side::Both => &[0, 1, 2],
+        }
+    }
+}
+
+/// A hand-over takes about a second from the first moment at which the job may be
+/// offered; the leaders end at one of these moments after the job was submitted.
+fn moments() -> impl Iterator<Item = f64> {
+    (0..26).map(|step| 4.0 + f64::from(step) * 0.11)
+}
+
+async fn assert_ends_once(c: &ThreeCells, what: &str) {
+    c.until_all_over().await;
+    c.assert_rules_kept();
+    let again = (0..4).filter(|i| c.starts(&format!("run-2/{i}")) != 1).count();
+    assert_eq!(again, 0, "{what}: tasks that did not run exactly once");
+}
+
+#[tokio::test(start_paused = true)]
+async fn leaders_that_end_at_any_moment_of_a_hand_over_lose_and_double_nothing() {
+    for side in [Side::Home, Side::Visitors, Side::Both] {
+        for moment in moments() {
+            let c = spilled(10).await;
+            pause(moment).await;
+            let ended: Vec<_> = side.cells().iter().map(|cell| (*cell, c.kill_leader(*cell))).collect();
+            pause(3.0).await;
+            for (cell, node) in ended {
+                c.cells[cell].start_node(node);
+            }
+            assert_ends_once(&c, &format!("{side:?} at {moment}")).await;
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_visited_cell_without_controllers_keeps_its_job() {
+    // For less and for more than every lease: its workers end their tasks after 27 s.
+    for (moment, gone) in [(4.3, 3.0), (4.9, 3.0), (7.0, 15.0), (7.0, 60.0), (4.6, 60.0)] {
+        let c = spilled(40).await;
+        pause(moment).await;
+        [1, 2].into_iter().for_each(|cell| c.kill_all(cell));
+        pause(gone).await;
+        [1, 2].into_iter().for_each(|cell| c.start_all(cell));
+        c.until_all_over().await;
+        c.assert_rules_kept();
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_home_cell_whose_state_service_refuses_after_the_offer_takes_nothing_back() {
+    for moment in moments().step_by(2) {
+        let c = spilled(10).await;
+        pause(moment).await;
+        c.cells[0].state.outage(true);
+        pause(40.0).await;
+        c.cells[0].state.outage(false);
+        assert_ends_once(&c, &format!("at {moment}")).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn answers_that_are_lost_after_the_commit_are_asked_for_again() {
+    for count in 1..6 {
+        let c = ThreeCells::start([2, 6, 6], &[("run-1", 400)]).await;
+        [1, 2].into_iter().for_each(|cell| c.links.lose_answers(0, cell, count));
+        c.submit(0, "run-1", 2, 16.0).await;
+        c.submit(0, "run-2", 4, 16.0).await;
+        assert_ends_once(&c, &format!("{count} lost")).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn requests_that_come_twice_or_minutes_late_in_any_order_start_nothing_again() {
+    let c = ThreeCells::start([2, 6, 6], &[("run-1", 400)]).await;
+    c.links.repeat();
+    c.submit(0, "run-1", 2, 16.0).await;
+    c.submit(0, "run-2", 4, 16.0).await;
+    c.cells[0].until_stage("run-2", "done").await;
+    let away = c.visited(0, "run-2");
+    if let Some(away) = away {
+        c.until("its records are dropped", || c.recorded(away, "run-2").is_none()).await;
+    }
+    pause(200.0).await;
+    assert!(c.links.deliver_kept().await > 10);
+    pause(60.0).await;
+    assert_ends_once(&c, "late offers").await;
+    assert!([1, 2].iter().all(|cell| c.recorded(*cell, "run-2").is_none()), "a late offer was taken");
+}
+
+#[tokio::test(start_paused = true)]
+async fn cells_cut_off_from_each_other_in_one_or_both_directions_keep_their_jobs() {
+    for (there, back) in [(true, false), (false, true), (true, true)] {
+        for moment in moments().step_by(3) {
+            let c = spilled(10).await;
+            pause(moment).await;
+            for cell in [1, 2] {
+                if there {
+                    c.links.cut(0, cell);
+                }
+                if back {
+                    c.links.cut(cell, 0);
+                }
+            }
+            pause(90.0).await;
+            // What another cell may have is not run here, however long that takes.
+            c.assert_rules_kept();
+            c.links.heal();
+            assert_ends_once(&c, &format!("cut {there} {back} at {moment}")).await;
+        }
+    }
+}
+
+// The old leader still reaches the other cells, but not its state service: it goes on
+// asking about what it believes to be away, while its successor offers elsewhere.
+#[tokio::test(start_paused = true)]
+async fn an_old_leader_that_still_talks_to_other_cells_changes_nothing() {
+    for moment in moments().step_by(3) {
+        let c = spilled(10).await;
+        pause(moment).await;
+        let old = c.cells[0].leader().unwrap();
+        c.cells[0].state.bar(&host(old), true);
+        pause(30.0).await;
+        c.cells[0].state.bar(&host(old), false);
+        assert_ends_once(&c, &format!("at {moment}")).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_cancellation_at_any_moment_is_final_and_in_time() {
+    for moment in moments().chain([8.0, 12.0, 16.0, 18.5]) {
+        let c = spilled(10).await;
+        pause(moment).await;
+        let stage = c.withdraw(0, "run-2").await;
+        // The cells lose each other right afterwards.
+        for cell in [1, 2] {
+            c.links.cut(0, cell);
+            c.links.cut(cell, 0);
+        }
+        pause(60.0).await;
+        c.assert_rules_kept();
+        let running = c.cells.iter().flat_map(|cell| cell.referee.on().into_keys());
+        let left = running.filter(|task| task.starts_with("run-2/")).count();
+        assert_eq!(left, 0, "tasks that run on after {moment}");
+        for n in 0..3 {
+            let (status, answer) = c.cells[0].show(n, "run-2").await;
+            assert_eq!((status, answer["stage"].as_str()), (200, Some(stage.as_str())));
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_cancellation_is_not_confirmed_while_the_cell_that_may_have_the_job_is_cut_off() {
+    let c = spilled(200).await;
+    c.until("it visits", || c.visited(0, "run-2").is_some()).await;
+    let away = c.visited(0, "run-2").unwrap();
+    c.until("it runs there", || c.cells[away].referee.on().len() == 4).await;
+    c.links.cut(0, away);
+    for _ in 0..5 {
+        let (status, _) = c.cells[0].ask_withdraw(0, "run-2").await;
+        assert_eq!(status, 503);
+    }
+    c.links.heal();
+    assert_eq!(c.withdraw(0, "run-2").await, "withdrawn");
+    pause(50.0).await;
+    c.assert_rules_kept();
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_that_can_not_begin_after_all_is_given_back_and_goes_elsewhere() {
+    // The second cell believes that it could rent machines, and gets none.
+    let c = ThreeCells::start([2, 0, 0], &[("run-1", 400)]).await;
+    c.submit(0, "run-1", 2, 16.0).await;
+    c.submit(0, "run-2", 4, 16.0).await;
+    c.until("it visits", || c.visited(0, "run-2").is_some()).await;
+    let first = c.visited(0, "run-2").unwrap();
+    c.until("it is given back", || c.recorded(first, "run-2").is_none()).await;
+    c.until("it is home, or elsewhere", || {
+        c.recorded(0, "run-2").as_deref() == Some("open") || c.visited(0, "run-2").is_some_and(|n| n != first)
+    })
+    .await;
+    c.cells[3 - first].cloud.shrink(6);
+    assert_ends_once(&c, "given back").await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_cell_that_takes_no_visitors_gets_none_and_its_refusal_is_forgotten() {
+    let none = |cell: usize, raw: &mut RawFederation| {
+        if cell > 0 {
+            raw.visitors_share = Some(0.0);
+        }
+    };
+    let c = ThreeCells::with([2, 6, 6], &[("run-1", 60)], &none).await;
+    c.submit(0, "run-1", 2, 16.0).await;
+    c.submit(0, "run-2", 4, 16.0).await;
+    c.until_all_over().await;
+    assert!(c.cells[0].referee.starts("run-2/0") == 1, "it waited for room at home");
+    assert!([1, 2].iter().all(|cell| c.cells[*cell].referee.history().is_empty()));
+    c.assert_rules_kept();
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_id_that_a_user_gave_to_two_cells_is_not_passed_from_one_to_the_other() {
+    let c = ThreeCells::start([2, 6, 0], &[("run-1", 120), ("run-2", 60)]).await;
+    c.submit(1, "run-2", 1, 16.0).await;
+    c.submit(0, "run-1", 2, 16.0).await;
+    c.cells[2].cloud.shrink(0);
+    c.cells[0].hand_in("run-2", &job("run-2", "free", 1, 16.0, "normal")).await;
+    pause(40.0).await;
+    assert_eq!(c.recorded(1, "run-2").as_deref(), Some("open"), "the other cell's own job is as it was");
+    for cell in &c.cells {
+        cell.assert_rules_kept();
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_may_not_be_passed_on_stays() {
+    let c = ThreeCells::start([2, 6, 6], &[("run-1", 200)]).await;
+    c.submit(0, "run-1", 2, 16.0).await;
+    for (id, field) in [("run-3", "same_place"), ("run-4", "apart")] {
+        let mut body = job(id, "free", 2, 16.0, "normal");
+        body[field] = json!(true);
+        c.cells[0].referee.job(id, "free", 16.0);
+        c.cells[0].hand_in(id, &body).await;
+    }
+    c.cells[0].serve("run-5", "free", 1, 16.0).await;
+    pause(60.0).await;
+    for id in ["run-3", "run-4", "run-5"] {
+        assert_eq!(c.visited(0, id), None, "{id}");
+    }
+    assert_eq!(c.recorded(0, "run-3").as_deref(), Some("open"));
+}
+
+// Its records are gone, so it can't know what its machines run: nothing that it took is
+// started anywhere else, and nothing is lost sight of.
+#[tokio::test(start_paused = true)]
+async fn what_a_lost_cell_took_stays_known_and_is_not_started_again() {
+    let mut c = spilled(30).await;
+    c.until("it visits", || c.visited(0, "run-2").is_some()).await;
+    let away = c.visited(0, "run-2").unwrap();
+    c.until("it runs there", || c.cells[away].referee.on().len() == 4).await;
+    c.kill_all(away);
+    if let Some(federation) = &mut c.cells[away].options.federation {
+        federation.cell.incarnation = 2;
+    }
+    c.start_all(away);
+    pause(120.0).await;
+    let (status, answer) = c.cells[0].show(0, "run-2").await;
+    assert_eq!((status, answer["stage"].as_str().is_some()), (200, true));
+    assert_eq!(c.recorded(0, "run-2").as_deref(), Some("away"));
+    assert!((0..4).all(|i| c.starts(&format!("run-2/{i}")) <= 1));
+    // New jobs go to the new incarnation.
+    c.submit(0, "run-6", 1, 16.0).await;
+    c.cells[0].until_stage("run-6", "done").await;
+    c.assert_rules_kept();
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slow_cell_holds_up_neither_the_others_nor_work_at_home() {
+    let c = ThreeCells::start([4, 6, 6], &[("run-1", 200)]).await;
+    c.links.slow(0, 1, Duration::from_secs(10));
+    c.submit(0, "run-1", 3, 16.0).await;
+    c.submit(0, "run-2", 4, 16.0).await;
+    let begun = Instant::now();
+    // One machine is left at home, for small work.
+    c.submit(0, "run-7", 1, 8.0).await;
+    c.cells[0].until_stage("run-7", "done").await;
+    assert!(begun.elapsed() < Duration::from_secs(30), "{:?}", begun.elapsed());
+    c.until("it visits the other one", || c.visited(0, "run-2") == Some(2)).await;
+    c.cells[0].until_stage("run-2", "done").await;
+    c.assert_rules_kept();
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_storm_of_jobs_from_a_cell_that_lost_its_machines_is_taken_in_by_the_others() {
+    let c = ThreeCells::start([8, 10, 10], &[]).await;
+    c.submit(0, "run-1", 8, 16.0).await;
+    c.until("it runs", || c.cells[0].referee.on().len() == 8).await;
+    c.cells[0].cloud.shrink(0);
+    c.cells[0].cloud.machines().iter().for_each(|id| c.cells[0].cloud.take(id));
+    for k in 0..24 {
+        c.submit(0, &format!("run-9{k}"), 2, 8.0).await;
+    }
+    pause(20.0).await;
+    // What had begun stays; machines come back for it.
+    c.cells[0].cloud.shrink(8);
+    c.until_all_over().await;
+    let visited = (0..24).filter(|k| c.cells[0].referee.starts(&format!("run-9{k}/0")) == 0).count();
+    assert!(visited >= 12, "{visited} of 24 jobs ran in other cells");
+    c.assert_rules_kept();
+}
--- a/crates/dapplecroft-controller/tests/stories/main.rs
+++ b/crates/dapplecroft-controller/tests/stories/main.rs
@@ -5,10 +5,12 @@
 
 mod answers;
 mod blocks;
+mod cells;
 mod checkpoints;
 mod cluster;
 mod combined_faults;
 mod failures;
+mod federation;
 mod five;
 mod fleet;
 mod gap;
--- a/crates/dapplecroft-fakes/src/lib.rs
+++ b/crates/dapplecroft-fakes/src/lib.rs
@@ -10,6 +10,6 @@
 
 pub use cloud::FakeCloud;
 pub use net::{Action, Handler, Net, Rule};
-pub use referee::{Bound, Referee, Told};
+pub use referee::{Bound, Referee, Stay, Told};
 pub use state::{FakeState, Limits, Refusals};
 pub use worker::{FakeWorker, Saves, WorkerTiming};
--- a/crates/dapplecroft-fakes/src/referee.rs
+++ b/crates/dapplecroft-fakes/src/referee.rs
@@ -26,6 +26,20 @@
     zones: HashMap<String, String>,
     bounds: HashMap<String, Bound>,
     neglected: HashMap<String, Instant>,
+    history: Vec<Stay>,
+}
+
+/// A task on a machine, from when it starts until it has left.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Stay {
+    /// The task.
+    pub task: String,
+    /// The machine.
+    pub machine: String,
+    /// When it started.
+    pub from: Instant,
+    /// When it left; `None`: it is there.
+    pub until: Option<Instant>,
 }
 
 /// Where the tasks of a job may be.
@@ -313,6 +327,13 @@
             inner.broken.push(format!("attempt {attempt} of {task} ran on {other} and on {machine}"));
         }
         inner.on.insert(task.into(), machine.into());
+        let (task_name, machine_name) = (task.to_string(), machine.to_string());
+        inner.history.push(Stay {
+            task: task_name,
+            machine: machine_name,
+            from: Instant::now(),
+            until: None,
+        });
         inner.began.entry(job_of(task).into()).or_insert_with(Instant::now);
         *inner.starts.entry(task.into()).or_default() += 1;
         let team = inner.jobs.get(job_of(task)).map(|(team, _)| team.clone());
@@ -343,6 +364,16 @@
         if inner.on.get(task).is_some_and(|m| m == machine) {
             inner.on.remove(task);
         }
+        let stays = inner.history.iter_mut().rev();
+        let mut open = stays.filter(|s| s.until.is_none() && s.task == task && s.machine == machine);
+        if let Some(stay) = open.next() {
+            stay.until = Some(Instant::now());
+        }
+    }
+
+    /// Every stay of a task on a machine, in the order of their starts.
+    pub fn history(&self) -> Vec<Stay> {
+        self.inner.lock().unwrap().history.clone()
     }
 
     /// Where tasks are now.
--- a/crates/dapplecroft-federation/tests/random.rs
+++ b/crates/dapplecroft-federation/tests/random.rs
@@ -200,12 +200,10 @@
                     (visited.runs, visited.ever_ran) = (true, true);
                 }
             }
-            Event::End { .. } => {
-                if visited.runs {
-                    visited.runs = false;
-                    visited.job = visited.job.map(|(epoch, _)| (epoch, TransferState::Done { done: 1 }));
-                    self.completions[job] += 1;
-                }
+            Event::End { .. } if visited.runs => {
+                visited.runs = false;
+                visited.job = visited.job.map(|(epoch, _)| (epoch, TransferState::Done { done: 1 }));
+                self.completions[job] += 1;
             }
             Event::Return { .. } => {
                 if let Some((epoch, TransferState::Accepted { .. })) = visited.job
--- a/crates/dapplecroft-wire/src/lib.rs
+++ b/crates/dapplecroft-wire/src/lib.rs
@@ -16,5 +16,12 @@
     tonic::include_proto!("dapplecroft.peer.v1");
 }
 
+/// The gRPC protocol between cells.
+pub mod cells {
+    // Generated code is not ours to divide.
+    #![allow(missing_docs, clippy::unwrap_used, clippy::too_many_lines)]
+    tonic::include_proto!("dapplecroft.cells.v1");
+}
+
 /// The largest request body that any interface accepts.
 pub const MAX_BODY: usize = 64 * 1024;
--- a/crates/dapplecroft/src/main.rs
+++ b/crates/dapplecroft/src/main.rs
@@ -112,6 +112,7 @@
         identity: format!("{:016x}", random.random::<u64>()),
         transport: Arc::new(TcpTransport::new(sockets.clone())),
         peers: Arc::new(grpc::GrpcPeers::default()),
+        cells: Arc::new(dapplecroft_controller::NoCells),
         wall: SystemTime::now,
         seed: random.random(),
     });
