--- a/crates/dapplecroft-controller/src/cells/answer.rs
+++ b/crates/dapplecroft-controller/src/cells/answer.rs
@@ -10,7 +10,7 @@
 use dapplecroft_wire::cells::{ExchangeReply, ExchangeRequest, TransferAnswer};
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::task::JoinSet;
 
@@ -33,14 +33,12 @@
         if !self.with(|core| core.leads_federation(now())) {
             return Err(ExchangeError::NotLeader);
         }
-        let running = self.exchanging.fetch_add(1, Ordering::Relaxed);
-        let reply = if running >= MAX_EXCHANGES {
-            Err(ExchangeError::Busy)
-        } else {
-            self.work_on_exchange(&cell, &request).await
-        };
-        self.exchanging.fetch_sub(1, Ordering::Relaxed);
-        reply
+        // The sender can end, and its request with it, at any moment.
+        let slot = ExchangeSlot::take(&self.exchanging);
+        if slot.position >= MAX_EXCHANGES {
+            return Err(ExchangeError::Busy);
+        }
+        self.work_on_exchange(&cell, &request).await
     }
 
     /// Whether a request may be answered at all; returns the sender.
@@ -166,6 +164,24 @@
     }
 }
 
+/// A request that is being worked on, until it is dropped.
+struct ExchangeSlot<'a> {
+    running: &'a AtomicUsize,
+    position: usize,
+}
+
+impl<'a> ExchangeSlot<'a> {
+    fn take(running: &'a AtomicUsize) -> ExchangeSlot<'a> {
+        ExchangeSlot { running, position: running.fetch_add(1, Ordering::Relaxed) }
+    }
+}
+
+impl Drop for ExchangeSlot<'_> {
+    fn drop(&mut self) {
+        self.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Whether a request is meant for this cell as it is. A request without a receiver asks
 /// for the summary alone.
 fn check_receiver(federation: &Federation, request: &ExchangeRequest) -> Result<(), ExchangeError> {
--- /dev/null
+++ b/crates/dapplecroft/src/cells/tests.rs
@@ -0,0 +1,29 @@
+use super::*;
+
+#[test]
+fn every_refusal_is_told_apart_on_the_wire() {
+    for error in [
+        ExchangeError::Unreachable,
+        ExchangeError::NotLeader,
+        ExchangeError::OtherVersion,
+        ExchangeError::Unlisted,
+        ExchangeError::OtherCell,
+        ExchangeError::OutdatedSender,
+        ExchangeError::Busy,
+    ] {
+        assert_eq!(from_status(&to_status(&error)), error);
+    }
+    let malformed = from_status(&to_status(&ExchangeError::Malformed("no cell".into())));
+    assert!(matches!(malformed, ExchangeError::Malformed(_)));
+}
+
+#[test]
+fn the_endpoint_that_answered_as_leader_is_asked_first() {
+    let endpoints: Vec<SocketAddr> =
+        ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"].iter().map(|text| text.parse().unwrap()).collect();
+    let peer = PeerCell { name: "b".into(), endpoints: endpoints.clone(), networks: Vec::new() };
+    let cells = GrpcCells::default();
+    assert_eq!(cells.endpoints(&peer), endpoints);
+    cells.note_leader(&peer, endpoints[2]);
+    assert_eq!(cells.endpoints(&peer)[0], endpoints[2]);
+}
--- a/crates/dapplecroft/src/main.rs
+++ b/crates/dapplecroft/src/main.rs
@@ -1,5 +1,6 @@
 //! The controller program.
 
+mod cells;
 mod front;
 mod grpc;
 mod http;
@@ -105,6 +106,7 @@
 async fn serve(settings: Settings, options: Options) -> Result<(), Failure> {
     let mut random = rand::rng();
     let (listen, back) = (settings.listen, settings.peer_listen);
+    let cells_listen = options.federation.as_ref().map(|federation| federation.listen);
     let sockets = Sockets::new(settings.params.quota.max_connections.max(MIN_SOCKETS));
     let node = Node::new(Parts {
         settings: Arc::new(settings),
@@ -112,7 +114,7 @@
         identity: format!("{:016x}", random.random::<u64>()),
         transport: Arc::new(TcpTransport::new(sockets.clone())),
         peers: Arc::new(grpc::GrpcPeers::default()),
-        cells: Arc::new(dapplecroft_controller::NoCells),
+        cells: Arc::new(cells::GrpcCells::default()),
         wall: SystemTime::now,
         seed: random.random(),
     });
@@ -121,6 +123,7 @@
     tokio::select! {
         result = http::serve(node.clone(), sockets, listen) => result?,
         result = grpc::serve(PeerService(node.clone()), back) => result?,
+        result = cells::serve(node.clone(), cells_listen) => result?,
         () = node.run() => {}
     }
     Err(node.ended().map_or(Failure::Ended, Failure::MustEnd))
--- a/crates/dapplecroft/src/options.rs
+++ b/crates/dapplecroft/src/options.rs
@@ -1,6 +1,9 @@
 //! Operators' own settings, in protobuf text format.
 
+mod federation;
+
 use dapplecroft_controller::Options;
+use dapplecroft_federation::SettingsError;
 use prost_reflect::{DescriptorPool, DynamicMessage, Value};
 use std::time::Duration;
 
@@ -10,6 +13,9 @@
     /// It is not in protobuf text format, or names an unknown field.
     #[error("{0}")]
     Text(String),
+    /// The federation can't be as it is set.
+    #[error(transparent)]
+    Federation(#[from] SettingsError),
     /// A value lies outside what its field allows.
     #[error("{field}: must be from {least} to {most}, is {value}")]
     Range {
@@ -52,7 +58,8 @@
         }
         _ => Ok(None),
     };
-    let seconds = |field, least, most| Ok(number(field, least, most)?.map(Duration::from_secs_f64));
+    let seconds =
+        |field, least, most| number(field, least, most).map(|value| value.map(Duration::from_secs_f64));
     let mut options = Options::default();
     let set = |target: &mut Duration, value: Option<Duration>| {
         if let Some(value) = value {
@@ -79,6 +86,7 @@
         Some(Value::Bool(value)) if message.has_field_by_name(field) => *value,
         _ => default,
     };
+    options.federation = federation::read(&message)?;
     options.preempt = flag("preempt", options.preempt);
     options.thrift = flag("thrift", options.thrift);
     Ok(options)
--- a/crates/dapplecroft/src/options/tests.rs
+++ b/crates/dapplecroft/src/options/tests.rs
@@ -28,3 +28,22 @@
         "block_machines: must be from 1 to 1000000, is 0"
     );
 }
+
+#[test]
+fn the_file_that_switches_the_federation_on_is_accepted() {
+    let options = parse(include_str!("../../../../deploy/federation.textproto")).unwrap();
+    let federation = options.federation.unwrap();
+    assert_eq!(federation.cell.to_string(), "cell-a.example.org#1");
+    assert_eq!((federation.peers.len(), federation.peers[1].endpoints.len()), (2, 3));
+    assert!(federation.offers);
+    assert_eq!(parse("").unwrap().federation, None);
+}
+
+#[test]
+fn a_federation_that_can_not_be_is_refused_by_name() {
+    let error = parse("federation { cell: \"a\" listen: \"127.0.0.1:1\" }").unwrap_err();
+    assert_eq!(error.to_string(), "federation.incarnation: must be at least 1");
+    let peer = "peers { name: \"a\" endpoints: \"10.0.0.1:1\" networks: \"10.0.0.0/8\" }";
+    let text = format!("federation {{ cell: \"a\" incarnation: 1 listen: \"127.0.0.1:1\" {peer} }}");
+    assert_eq!(parse(&text).unwrap_err().to_string(), "federation.peers: a is this cell itself");
+}
