--- a/crates/dapplecroft-controller/src/cells.rs
+++ b/crates/dapplecroft-controller/src/cells.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 pub(crate) mod convert;
+mod status;
 
 pub use convert::{MalformedMessage, to_reply, to_transfers};
 
--- a/crates/dapplecroft-controller/src/core/drain.rs
+++ b/crates/dapplecroft-controller/src/core/drain.rs
@@ -2,8 +2,8 @@
 //! with a record.
 
 use super::Core;
-use crate::jobs::{Stop, TaskId};
-use crate::records::{self, DrainRecord, stored_size};
+use crate::jobs::{OpenJob, Stop, TaskId};
+use crate::records::{self, DrainMove, DrainRecord, stored_size};
 use dapplecroft_sched::{DrainRules, Need, Resident, Slot, plan_drain};
 use dapplecroft_state::Unit;
 use dapplecroft_wire::state::{Change, Condition};
@@ -107,26 +107,27 @@
         self.draining.shares.iter().map(|(_, s)| *s).fold(0.0, f64::max).min(1.0)
     }
 
-    fn new_drain(&self, block: u32, now: Instant) -> Option<DrainRecord> {
+    /// Jobs with a waiting task that fits nowhere in a block, and what it needs. Jobs
+    /// that are put off after failures are not among them.
+    fn without_room_in(&self, block: u32, now: Instant) -> Vec<(&str, Need)> {
         let leads = self.leads(now);
-        // Tasks that are put off after failures are not among these.
-        let waiting: Vec<(&str, Need)> = self
-            .waiting
-            .iter()
-            .filter_map(|id| {
-                let job = self.open_job(id)?;
-                let ready = job.is_open() && job.not_before.is_none_or(|at| at <= now);
-                let admitted = job.waiting_in(block) > 0
-                    || leads
-                        && !job.unadmitted.is_empty()
-                        && self.teams.get(&job.spec.team)?.admits(&job.need.amounts);
-                if !ready || !admitted || job.failures > 0 {
-                    return None;
-                }
-                let fits = !self.candidates(id, job, block, &Default::default(), now).is_empty();
-                (!fits).then(|| (&**id, (*job.need).clone()))
-            })
-            .collect();
+        let may_start = |job: &OpenJob| {
+            let ready = job.is_open() && job.not_before.is_none_or(|at| at <= now) && job.failures == 0;
+            let team = self.teams.get(&job.spec.team);
+            let may_be_admitted =
+                leads && !job.unadmitted.is_empty() && team.is_some_and(|t| t.admits(&job.need.amounts));
+            ready && (job.waiting_in(block) > 0 || may_be_admitted)
+        };
+        let waiting = self.waiting.iter().filter_map(|id| Some((id, self.open_job(id)?)));
+        waiting
+            .filter(|(_, job)| may_start(job))
+            .filter(|(id, job)| self.candidates(id, job, block, &Default::default(), now).is_empty())
+            .map(|(id, job)| (&**id, (*job.need).clone()))
+            .collect()
+    }
+
+    fn new_drain(&self, block: u32, now: Instant) -> Option<DrainRecord> {
+        let waiting = self.without_room_in(block, now);
         if waiting.is_empty() {
             return None;
         }
@@ -153,7 +154,8 @@
             .filter_map(|m| {
                 let task = &tasks[m.resident];
                 let attempt = self.open_job(&task.job)?.placed.get(&task.index)?.attempt;
-                Some((task.job.to_string(), task.index, attempt, slots[m.to].machine.clone()))
+                let to = slots[m.to].machine.clone();
+                Some(DrainMove { job: task.job.to_string(), index: task.index, attempt, to })
             })
             .collect();
         Some(DrainRecord {
@@ -180,12 +182,11 @@
             }
         };
         let mut left = false;
-        for (job, index, attempt, _) in &record.moves {
+        for DrainMove { job, index, attempt, .. } in &record.moves {
             let task = TaskId { job: job.as_str().into(), index: *index };
             let Some(placed) = self.open_job(job).and_then(|j| j.placed.get(index)) else {
                 // Done, or waiting to be placed where the record says.
-                let waits =
-                    |j: &crate::jobs::OpenJob| j.waiting.get(&block).is_some_and(|r| r.contains(*index));
+                let waits = |j: &OpenJob| j.waiting.get(&block).is_some_and(|r| r.contains(*index));
                 left |= self.open_job(job).is_some_and(waits);
                 continue;
             };
--- a/crates/dapplecroft-controller/src/core/federation.rs
+++ b/crates/dapplecroft-controller/src/core/federation.rs
@@ -3,6 +3,7 @@
 //! that are bound to the leader's key and to all records that the decision rests on.
 
 mod home;
+mod status;
 mod visitor;
 
 pub use home::{AwayRequest, NotAway, OfferUnit};
@@ -90,6 +91,3 @@
         self.options.federation.as_ref().map(|federation| &federation.cell)
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/dapplecroft-controller/src/core/federation/home.rs
+++ b/crates/dapplecroft-controller/src/core/federation/home.rs
@@ -137,7 +137,7 @@
         self.federation.unsettled.remove(id);
     }
 
-    fn away_jobs(&self) -> impl Iterator<Item = (&Arc<str>, &AwayJob, &AwayRecord)> {
+    pub(super) fn away_jobs(&self) -> impl Iterator<Item = (&Arc<str>, &AwayJob, &AwayRecord)> {
         self.jobs.iter().filter_map(|(id, job)| match job {
             Job::Away(job) => job.record.away.as_ref().map(|away| (id, job.as_ref(), away)),
             _ => None,
--- a/crates/dapplecroft-controller/src/core/federation/visitor.rs
+++ b/crates/dapplecroft-controller/src/core/federation/visitor.rs
@@ -293,7 +293,7 @@
         refusals.any(|(i, e)| is_prunable(e, i, &raised)) || visits.any(|(i, e)| is_prunable(e, i, &raised))
     }
 
-    fn is_over(&self, id: &Arc<str>) -> bool {
+    pub(super) fn is_over(&self, id: &Arc<str>) -> bool {
         matches!(self.jobs.get(id), Some(Job::Final { .. }))
     }
 
--- a/crates/dapplecroft-controller/src/core/groups.rs
+++ b/crates/dapplecroft-controller/src/core/groups.rs
@@ -44,6 +44,15 @@
     Addresses,
 }
 
+/// A machine that left a group's record.
+#[derive(Debug, Clone)]
+pub(super) struct Departed {
+    /// The revision with which it left.
+    revision: u64,
+    machine: Arc<str>,
+    group: Arc<str>,
+}
+
 /// What becomes of a group's record.
 enum GroupWrite {
     /// It is written or dropped.
@@ -132,13 +141,13 @@
     /// the release was answered.
     pub(super) fn settle_departed(&mut self, now: Instant) {
         let followed = self.followed;
-        type Departed = Vec<(u64, Arc<str>, Arc<str>)>;
-        let (known, later): (Departed, Departed) =
-            std::mem::take(&mut self.departed).into_iter().partition(|(v, _, _)| *v <= followed);
+        let departed = std::mem::take(&mut self.departed);
+        let (known, later): (Vec<Departed>, Vec<Departed>) =
+            departed.into_iter().partition(|departed| departed.revision <= followed);
         self.departed = later;
-        for (_, id, name) in known {
-            let named = self.groups.get(&name).is_some_and(|g| g.record.machines.contains_key(&*id));
-            let here = self.machines.get(&id).is_some_and(|m| m.group.as_ref() == Some(&name));
+        for Departed { machine: id, group, .. } in known {
+            let named = self.groups.get(&group).is_some_and(|g| g.record.machines.contains_key(&*id));
+            let here = self.machines.get(&id).is_some_and(|m| m.group.as_ref() == Some(&group));
             if here && !named {
                 self.machine_gone(&id, now);
                 self.forget_machine(&id);
@@ -393,7 +402,12 @@
         if let Some(old) = &old {
             let still = |id: &str| record.as_ref().is_some_and(|r| r.machines.contains_key(id));
             let left = old.record.machines.keys().filter(|id| !still(id));
-            self.departed.extend(left.map(|id| (version, id.as_str().into(), name.clone())));
+            let departed = |id: &String| Departed {
+                revision: version,
+                machine: id.as_str().into(),
+                group: name.clone(),
+            };
+            self.departed.extend(left.map(departed));
         }
         if let Some(record) = record {
             let mut addresses_unrecorded = false;
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -210,8 +210,8 @@
     completed_records: HashMap<Arc<str>, BTreeMap<u32, Ranges>>,
     /// Keys that say nothing any more.
     obsolete_keys: BTreeSet<String>,
-    /// Machines that left a group's record, at which revision.
-    departed: Vec<(u64, Arc<str>, Arc<str>)>,
+    /// Machines that left a group's record, until the copy has caught up with that.
+    departed: Vec<groups::Departed>,
     /// Shards of the machine types: of how many, and which.
     catalog_shards: BTreeMap<u32, copy::CatalogShard>,
     /// Groups of machines.
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -4,6 +4,7 @@
 use super::Core;
 use crate::jobs::{Job, OpenJob, Placed, TaskId};
 use crate::machines::Machine;
+use crate::records::DrainMove;
 use dapplecroft_sched::{Amounts, Candidate, Demand, HasImage, Need, TeamBook, best_fit_of};
 use dapplecroft_wire::users::Rank;
 use std::cmp::Reverse;
@@ -448,7 +449,7 @@
     /// What a drain moves goes where the drain says, if it still fits.
     fn place_drained(&mut self, id: &Arc<str>, block: u32, waiting: &mut Vec<u32>, now: Instant) {
         let Some((drain, _)) = self.drains.get(&block).cloned() else { return };
-        for (_, index, _, to) in drain.moves.iter().filter(|(job, _, _, _)| *job == **id) {
+        for DrainMove { index, to, .. } in drain.moves.iter().filter(|moved| moved.job == **id) {
             let Some(position) = waiting.iter().position(|waits| waits == index) else { continue };
             let to: Arc<str> = to.as_str().into();
             let Some(job) = self.open_job(id) else { return };
--- a/crates/dapplecroft-controller/src/peers.rs
+++ b/crates/dapplecroft-controller/src/peers.rs
@@ -6,7 +6,8 @@
 use dapplecroft_net::Request;
 use dapplecroft_wire::peer::peer_server::Peer as PeerProtocol;
 use dapplecroft_wire::peer::{
-    ForwardReply, ForwardRequest, ProbeReply, ProbeRequest, RoomReply, RoomRequest, SightReply, SightRequest,
+    CellsReply, CellsRequest, ForwardReply, ForwardRequest, ProbeReply, ProbeRequest, RoomReply, RoomRequest,
+    SightReply, SightRequest,
 };
 use dapplecroft_wire::settings::Peer;
 use std::sync::Arc;
@@ -107,6 +108,13 @@
         Ok(tonic::Response::new(self.own_sight()))
     }
 
+    async fn cells(
+        &self,
+        _: tonic::Request<CellsRequest>,
+    ) -> Result<tonic::Response<CellsReply>, tonic::Status> {
+        Ok(tonic::Response::new(self.0.cells_status()))
+    }
+
     async fn probe(
         &self,
         request: tonic::Request<ProbeRequest>,
--- a/crates/dapplecroft-controller/src/records.rs
+++ b/crates/dapplecroft-controller/src/records.rs
@@ -317,8 +317,36 @@
     pub machine: String,
     /// The job whose waiting task takes it.
     pub for_job: String,
-    /// What moves where: job, task, attempt and the machine that it goes to.
-    pub moves: Vec<(String, u32, u64, String)>,
+    /// What moves where.
+    pub moves: Vec<DrainMove>,
+}
+
+/// A task that a drain moves; stored as a list of its fields.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(from = "StoredDrainMove", into = "StoredDrainMove")]
+pub struct DrainMove {
+    /// The job.
+    pub job: String,
+    /// The task's index within it.
+    pub index: u32,
+    /// The attempt that is stopped.
+    pub attempt: u64,
+    /// The machine that it goes to.
+    pub to: String,
+}
+
+type StoredDrainMove = (String, u32, u64, String);
+
+impl From<StoredDrainMove> for DrainMove {
+    fn from((job, index, attempt, to): StoredDrainMove) -> Self {
+        DrainMove { job, index, attempt, to }
+    }
+}
+
+impl From<DrainMove> for StoredDrainMove {
+    fn from(stored: DrainMove) -> Self {
+        (stored.job, stored.index, stored.attempt, stored.to)
+    }
 }
 
 #[cfg(test)]
--- a/crates/dapplecroft-controller/src/records/tests.rs
+++ b/crates/dapplecroft-controller/src/records/tests.rs
@@ -27,3 +27,13 @@
     assert_eq!(stored_size(&json!("ab")), 4);
     assert_eq!(stored_size(&json!("é")), 8);
 }
+
+// Other processes read what was stored before its fields had names.
+#[test]
+fn the_moves_of_a_drain_are_stored_as_lists() {
+    let moved = DrainMove { job: "run-1".into(), index: 3, attempt: 2, to: "i-9".into() };
+    let record = DrainRecord { machine: "i-1".into(), for_job: "run-2".into(), moves: vec![moved] };
+    let stored = serde_json::json!({"machine": "i-1", "for_job": "run-2", "moves": [["run-1", 3, 2, "i-9"]]});
+    assert_eq!(serde_json::to_value(&record).unwrap(), stored);
+    assert_eq!(serde_json::from_value::<DrainRecord>(stored).unwrap(), record);
+}
--- a/crates/dapplecroft-federation/src/summary.rs
+++ b/crates/dapplecroft-federation/src/summary.rs
@@ -94,6 +94,12 @@
         }
     }
 
+    /// A cell as it last told of itself, and how long ago it was asked for that.
+    pub fn heard(&self, cell: &str, now: Instant) -> Option<(&CellId, Duration)> {
+        let (summary, asked) = self.summaries.get(cell)?;
+        Some((&summary.cell, now.saturating_duration_since(*asked)))
+    }
+
     /// Takes note that a cell has refused a job.
     pub fn note_refusal(&mut self, job: &Arc<str>, cell: &str, now: Instant) {
         self.refusals.insert((job.clone(), cell.to_string()), now);
--- a/crates/dapplecroft/src/main.rs
+++ b/crates/dapplecroft/src/main.rs
@@ -1,6 +1,7 @@
 //! The controller program.
 
 mod cells;
+mod cells_command;
 mod front;
 mod grpc;
 mod http;
@@ -11,6 +12,7 @@
 use dapplecroft_net::{Sockets, TcpTransport};
 use dapplecroft_wire::settings::Settings;
 use rand::RngExt;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -38,6 +40,15 @@
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
     },
+    /// Say how things stand between this cell and others, as a controller knows it.
+    Cells {
+        /// Address of one of this cell's controllers for the others (`back`). Its leader
+        /// knows most.
+        controller: SocketAddr,
+        /// List the jobs that are away, one a line.
+        #[arg(long)]
+        away: bool,
+    },
     /// Check a file of operators' settings and say what would be in force.
     Check {
         /// The file (protobuf text format).
@@ -64,6 +75,8 @@
     Io(#[from] std::io::Error),
     #[error("peers' interface: {0}")]
     Grpc(#[from] tonic::transport::Error),
+    #[error("{0}")]
+    Cells(#[from] cells_command::CellsError),
     #[error("a part of the controller ended")]
     Ended,
     #[error("{0}")]
@@ -76,6 +89,7 @@
     tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
     let result = match arguments.command {
         Command::Run { options, config } => run(options.as_deref(), &config),
+        Command::Cells { controller, away } => show_cells(controller, away),
         Command::Check { file } => load_options(&file).map(|options| println!("{options:#?}")),
     };
     match result {
@@ -103,6 +117,13 @@
     runtime.block_on(serve(settings, options))
 }
 
+fn show_cells(controller: SocketAddr, away: bool) -> Result<(), Failure> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let reply = runtime.block_on(cells_command::ask(controller))?;
+    print!("{}", if away { cells_command::away_lines(&reply) } else { cells_command::summary_lines(&reply) });
+    Ok(())
+}
+
 async fn serve(settings: Settings, options: Options) -> Result<(), Failure> {
     let mut random = rand::rng();
     let (listen, back) = (settings.listen, settings.peer_listen);
