A job is given back only once nothing of it is admitted

Cause, found by reading: giving a visiting job back was bound to its record alone. A placement rests on an admission and does not change that record, so a holder's placement could be committed just before, and the job would run here and at home. The exploration missed it: its model bound every start to the record.

Change: what is admitted is taken back first; the job is given back once nothing is admitted and the copy has caught up with that. The model says what it binds.

--- a/crates/dapplecroft-controller/src/core/federation.rs
+++ b/crates/dapplecroft-controller/src/core/federation.rs
@@ -91,3 +91,6 @@
         self.options.federation.as_ref().map(|federation| &federation.cell)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/dapplecroft-controller/src/core/federation/home.rs
+++ b/crates/dapplecroft-controller/src/core/federation/home.rs
@@ -39,14 +39,19 @@
 }
 
 impl OpenJob {
-    /// Whether the copy shows that nothing of it was ever started or admitted, and
-    /// nothing is being decided about it.
-    fn is_untouched(&self, followed: u64) -> bool {
+    /// Whether the copy shows nothing of it on a machine, now or ever.
+    pub(super) fn has_not_started(&self) -> bool {
         let nothing_placed = self.placed.is_empty() && self.done.is_empty() && self.exits.is_empty();
-        let never_ended = self.tries.is_empty() && self.completed_records.is_empty();
+        nothing_placed && self.tries.is_empty() && self.completed_records.is_empty() && self.failures == 0
+    }
+
+    /// Whether nothing of it was ever started, and nothing can be under its record as it
+    /// is: every placement rests on an admission, and none is left that the copy has not
+    /// caught up with.
+    pub(super) fn is_untouched(&self, followed: u64) -> bool {
         let not_admitted = self.record.admitted.is_empty() && self.admitting.is_empty();
         let settled = self.revoking.is_empty() && self.revoked <= followed && self.version <= followed;
-        nothing_placed && never_ended && not_admitted && settled && self.failures == 0
+        self.has_not_started() && not_admitted && settled
     }
 
     fn wish(&self) -> Wish {
--- /dev/null
+++ b/crates/dapplecroft-controller/src/core/federation/tests.rs
@@ -0,0 +1,65 @@
+use crate::core::Core;
+use crate::core::testing::{core, job_record, proposed};
+use crate::jobs::Job;
+use crate::records::ShardId;
+use dapplecroft_federation::settings::{Federation, RawFederation, RawPeer};
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+
+/// A leader of a cell with one peer, and a job of that which is here.
+fn visited(admitted: Value) -> Core {
+    let peer = RawPeer {
+        name: "b".into(),
+        endpoints: vec!["10.2.0.1:1".into()],
+        networks: vec!["10.2.0.0/16".into()],
+    };
+    let raw = RawFederation {
+        cell: "a".into(),
+        incarnation: 1,
+        listen: "10.1.0.1:1".into(),
+        peers: vec![peer],
+        ..RawFederation::default()
+    };
+    let mut core = core();
+    core.options.federation = Some(Federation::check(&raw).unwrap());
+    core.format = 2;
+    core.role.leadership = Some(1);
+    core.apply("dc/j/run-1", Some(visiting(admitted)), 5, Instant::now());
+    core.caught_up(10);
+    core
+}
+
+fn visiting(admitted: Value) -> Value {
+    let spec = job_record("run-1", 2, json!({}))["spec"].clone();
+    json!({"s": "visiting", "n": 2, "to": admitted, "at": 0.0, "spec": spec, "or": {"c": "b", "i": 1, "e": 7}})
+}
+
+// A placement is bound to the job's record and leaves it as it is: a holder's could have
+// been committed just before the job was given back, and would have run on while its home
+// cell started the job again.
+#[test]
+fn a_job_is_given_back_only_once_nothing_of_it_is_admitted_and_that_is_caught_up_with() {
+    let later = Instant::now() + Duration::from_secs(100);
+    let mut core = visited(json!({"0": "0-1"}));
+    assert!(core.return_units(9, later).is_empty(), "a holder may be placing it");
+    core.prepare_returns(later);
+    let job = core.open_job("run-1").unwrap();
+    assert!(job.revoking.contains_key(&0) && job.not_before.is_some_and(|at| at > later));
+    core.apply("dc/j/run-1", Some(visiting(json!({}))), 12, later);
+    assert!(core.return_units(9, later).is_empty(), "what was placed before may not be known yet");
+    core.caught_up(12);
+    let units = core.return_units(9, later);
+    assert_eq!(units.len(), 1);
+    let bound = units[0].conditions.iter().any(|c| c.key == "dc/j/run-1" && c.version == 12);
+    assert!(bound, "{:?}", units[0].conditions);
+}
+
+#[test]
+fn a_job_of_which_something_was_placed_stays() {
+    let later = Instant::now() + Duration::from_secs(100);
+    let mut core = visited(json!({}));
+    let Some(Job::Open(open)) = core.jobs.get_mut("run-1") else { panic!("not open") };
+    open.placed.insert(0, proposed("i-1", ShardId::new(0, 0), 1, later));
+    core.prepare_returns(later);
+    assert!(core.return_units(9, later).is_empty());
+}
--- a/crates/dapplecroft-controller/src/core/federation/visitor.rs
+++ b/crates/dapplecroft-controller/src/core/federation/visitor.rs
@@ -1,7 +1,7 @@
 //! The visited cell's part: what is known of a transfer, what is committed before it is
 //! answered, what is given back, and what may be forgotten.
 
-use crate::core::Core;
+use crate::core::{Core, Subject};
 use crate::jobs::{Job, OpenJob};
 use crate::records::{self, JobRecord, JobStage, stored_size};
 use dapplecroft_cloud::MAX_RENT;
@@ -16,11 +16,14 @@
 use dapplecroft_wire::users::JobSpec;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Bytes of a value that are kept for what is noted of a job later on.
 const NOTES: usize = 300;
 
+/// For so long nothing is admitted of a job that is to be given back.
+const RETURN_HOLD: Duration = Duration::from_secs(5);
+
 /// What follows from a request of another cell.
 #[derive(Debug, Clone)]
 pub enum VisitPlan {
@@ -66,13 +69,6 @@
             _ => TransferState::Accepted { done, running: u32::try_from(running).unwrap_or(u32::MAX) },
         }
     }
-
-    /// Whether the copy shows that none of its tasks was ever started, though some may
-    /// be admitted to blocks.
-    fn never_started(&self, followed: u64) -> bool {
-        let nothing = self.placed.is_empty() && self.done.is_empty() && self.exits.is_empty();
-        nothing && self.tries.is_empty() && self.version <= followed && self.revoked <= followed
-    }
 }
 
 impl Core {
@@ -249,22 +245,47 @@
         })
     }
 
-    /// Units that give back jobs of other cells that have waited here too long and of
-    /// which nothing was ever started. Each is bound to the job's record, as every
-    /// admission and placement is.
-    pub fn return_units(&self, most: usize, now: Instant) -> Vec<Unit> {
+    /// Jobs of other cells that have waited here too long and of which, as far as the copy
+    /// shows, nothing was ever started.
+    fn overdue_visits(&self, now: Instant) -> Vec<Arc<str>> {
         let Some(federation) = &self.options.federation else { return Vec::new() };
-        let waits = |job: &OpenJob| {
+        let overdue = |job: &OpenJob| {
             job.record.stage == JobStage::Visiting
                 && now.saturating_duration_since(job.learned) >= federation.return_after
-                && job.never_started(self.followed)
+                && job.has_not_started()
         };
-        let visits = self.federation.visits.iter();
-        let due = visits.filter(|(id, _)| self.open_job(id).is_some_and(waits)).take(most);
-        due.filter_map(|(id, origin)| {
-            let conditions = self.visit_conditions(&origin.cell, id)?;
-            let drop = Change::Drop { key: records::job_key(id) };
-            let changes = vec![refusal(&origin.cell, id, origin.epoch), drop];
+        let visits = self.federation.visits.keys();
+        visits.filter(|id| self.open_job(id).is_some_and(overdue)).cloned().collect()
+    }
+
+    /// Takes back what is admitted of jobs that are to be given back, and admits nothing
+    /// of them for a while. A placement rests on an admission and does not change the
+    /// job's record: only once none is left, and the copy has caught up with that, is it
+    /// known that nothing was placed.
+    pub fn prepare_returns(&mut self, now: Instant) {
+        for id in self.overdue_visits(now) {
+            let in_flight = self.commits.is_in_flight(&Subject::Job(id.clone()));
+            let Some(job) = self.open_job_mut(&id) else { continue };
+            job.not_before = job.not_before.max(Some(now + RETURN_HOLD));
+            if in_flight || !job.admitting.is_empty() || job.record.admitted.is_empty() {
+                continue;
+            }
+            job.revoking = job.record.admitted.clone();
+            self.rederive(&id);
+            self.mark_job(&id);
+        }
+    }
+
+    /// Units that give back jobs of other cells of which nothing was ever started or is
+    /// admitted. Each is bound to the job's record, as every admission is.
+    pub fn return_units(&self, most: usize, now: Instant) -> Vec<Unit> {
+        let untouched = |id: &Arc<str>| self.open_job(id).is_some_and(|job| job.is_untouched(self.followed));
+        let due = self.overdue_visits(now).into_iter().filter(untouched).take(most);
+        due.filter_map(|id| {
+            let origin = self.federation.visits.get(&id)?;
+            let conditions = self.visit_conditions(&origin.cell, &id)?;
+            let drop = Change::Drop { key: records::job_key(&id) };
+            let changes = vec![refusal(&origin.cell, &id, origin.epoch), drop];
             Some(Unit { conditions, changes })
         })
         .collect()
--- a/crates/dapplecroft-controller/src/loops/federation.rs
+++ b/crates/dapplecroft-controller/src/loops/federation.rs
@@ -152,6 +152,7 @@
                 continue;
             }
             self.offer_jobs(&federation).await;
+            self.with(|core| core.prepare_returns(now()));
             for unit in self.with(|core| core.return_units(MAX_OFFERS, now())) {
                 let key = unit.changes.last().map(|change| change.key().to_string());
                 let committed = self.commit_for_cells(unit).await;
--- a/crates/dapplecroft-federation/tests/hand_over.rs
+++ b/crates/dapplecroft-federation/tests/hand_over.rs
@@ -164,7 +164,8 @@
             } else {
                 let mut after = self.clone();
                 (after.runs, after.ever_ran) = (true, true);
-                // A start is committed on the job's record, as a return is.
+                // The first start rests on an admission, which is committed on the job's
+                // record, as a return is.
                 after.on_way.clear();
                 next.push(after);
             }
