--- a/crates/dapplecroft-controller/tests/stories/federation.rs
+++ b/crates/dapplecroft-controller/tests/stories/federation.rs
@@ -2,8 +2,9 @@
 //! repeated, and state services refuse.
 
 use crate::cells::{NAMES, ThreeCells, network_address};
-use crate::cluster::{host, job, pause};
-use dapplecroft_controller::ExchangeError;
+use crate::cluster::{Cluster, host, job, pause};
+use dapplecroft_controller::{ExchangeError, Options};
+use dapplecroft_federation::Federation;
 use dapplecroft_federation::settings::RawFederation;
 use dapplecroft_wire::cells::{Cell, ExchangeRequest, Transfer, TransferKind};
 use rand::rngs::StdRng;
@@ -483,3 +484,25 @@
         storm(seed).await;
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_federation_without_peers_changes_nothing() {
+    let alone = RawFederation {
+        cell: NAMES[0].into(),
+        incarnation: 1,
+        listen: "0.0.0.0:8090".into(),
+        ..RawFederation::default()
+    };
+    let mut written = Vec::new();
+    for federation in [None, Some(Federation::check(&alone).unwrap())] {
+        let c = Cluster::with(3, |_| {}, Options { federation, ..Options::default() }).await;
+        for id in ["run-1", "run-2"] {
+            c.submit(id, "free", 6, 8.0, "normal").await;
+            c.until_stage(id, "done").await;
+        }
+        c.assert_rules_kept();
+        let records: Vec<_> = c.state.keys("dc/").into_iter().map(|key| c.state.value(&key)).collect();
+        written.push((c.state.changes(), c.state.keys("dc/"), records));
+    }
+    assert_eq!(written[0], written[1]);
+}
