Only where blocks are many do large jobs have a range for each

Cause: with few blocks (a site that starts, or a small one) jobs of a few dozen tasks counted as large and were admitted from odd places, which is of no use there.

Change: ranges of their own from 16 blocks on.

--- a/crates/dapplecroft-controller/src/core/admission.rs
+++ b/crates/dapplecroft-controller/src/core/admission.rs
@@ -13,8 +13,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// A job with so many tasks for each block has a part for each.
+/// A job with so many tasks for each block has a part for each, where there are so many
+/// blocks that its record could not name several ranges of each.
 const LARGE_PART: usize = 16;
+const MANY_BLOCKS: usize = 16;
 
 /// Tasks that a block could not start for so long are taken back, if another
 /// block can start some.
@@ -327,7 +329,8 @@
     /// come, to many blocks by turns, its tasks would be in so many ranges that its
     /// record, which names them, is full long before the fleet is.
     fn admission_start(&self, job: &OpenJob, block: u32) -> u32 {
-        if (job.record.tasks as usize) < LARGE_PART * self.blocks.len() {
+        let blocks = self.blocks.len();
+        if blocks < MANY_BLOCKS || (job.record.tasks as usize) < LARGE_PART * blocks {
             return 0;
         }
         let last = |ranges: &BTreeMap<u32, Ranges>| ranges.get(&block).and_then(Ranges::last);
