The leader gives tasks to blocks by allocation; admission will mean another thing

Need: admission control decides on submissions, as the field has it; here the word stood for the leader's allocation of tasks to blocks. Stored names stay as they are.

--- a/crates/dapplecroft-controller/src/core/admission.rs
+++ b/crates/dapplecroft-controller/src/core/allocation.rs
@@ -1,4 +1,4 @@
-//! The leader's admission of waiting tasks to blocks, within team limits.
+//! The leader's allocation of waiting tasks to blocks, within team limits.
 
 use super::Core;
 use super::placing::Round;
@@ -47,7 +47,7 @@
     tight: i64,
     /// Those on machines with the image.
     with_image: i64,
-    /// Whether tasks of the job were admitted there before.
+    /// Whether tasks of the job were allocated there before.
     used: bool,
 }
 
@@ -86,7 +86,7 @@
 fn bound_block(job: &OpenJob) -> Option<u32> {
     // What was taken back from a block may be on a machine there all the same,
     // placed just before. What is done binds nothing any more, though the record
-    // still says where it was admitted.
+    // still says where it was allocated.
     let placed = job.placed.values().map(|placed| placed.home.block);
     let waiting = job.waiting.keys().chain(job.revoking.keys());
     placed.chain(waiting.copied()).next()
@@ -192,7 +192,7 @@
             total: 0,
             tight: 0,
             with_image: 0,
-            used: job.record.admitted.contains_key(&block),
+            used: job.record.allocated.contains_key(&block),
         };
         for (_, c) in self.candidates(id, job, block, &round.reserved, now) {
             let n = job.need.amounts.times_in(&(c.capacity - c.booked)).max(1);
@@ -207,10 +207,12 @@
         fit
     }
 
-    /// Admits what of a job can start somewhere, to as few blocks as will do,
+    /// Allocates what of a job can start somewhere, to as few blocks as will do,
     /// since each costs records of its own; and a little of what can't yet.
-    pub(super) fn admit(&mut self, id: &Arc<str>, round: &mut Round, now: Instant) {
-        let Some(job) = self.open_job(id).filter(|j| j.is_open() && !j.unadmitted.is_empty()) else { return };
+    pub(super) fn allocate(&mut self, id: &Arc<str>, round: &mut Round, now: Instant) {
+        let Some(job) = self.open_job(id).filter(|j| j.is_open() && !j.unallocated.is_empty()) else {
+            return;
+        };
         if job.revoked > self.followed {
             // What was taken back from a block may have been placed there just
             // before: that is known once the copy has caught up.
@@ -219,14 +221,14 @@
         let Some(book) = self.teams.get(&job.spec.team) else { return };
         let headroom = book.headroom(&job.need.amounts);
         let most = i64::try_from(round.most).unwrap_or(i64::MAX);
-        let mut left = i64::from(job.unadmitted.len()).min(headroom).min(most);
+        let mut left = i64::from(job.unallocated.len()).min(headroom).min(most);
         if left <= 0 {
             return;
         }
         let need = job.need.clone();
         let spare = job.failed_on.is_empty();
         if round.is_full(None, &need) {
-            return self.admit_ahead(id, left, round, now);
+            return self.allocate_ahead(id, left, round, now);
         }
         let constrained = job.is_constrained();
         let mut fits = self.block_fits(id, job, left, round, now);
@@ -247,7 +249,7 @@
             let most = if service && several { most.min((all + 1) / 2) } else { most };
             let n = left.min(most);
             if n > 0 {
-                if !self.admit_to(id, fit.block, n as u32, round, now) {
+                if !self.allocate_to(id, fit.block, n as u32, round, now) {
                     return;
                 }
                 left -= n;
@@ -260,7 +262,7 @@
             if spare {
                 round.full.push((None, need));
             }
-            self.admit_ahead(id, left, round, now);
+            self.allocate_ahead(id, left, round, now);
         }
     }
 
@@ -295,20 +297,27 @@
         fits
     }
 
-    /// `false`: the job's record would outgrow a value. What is admitted has to
+    /// `false`: the job's record would outgrow a value. What is allocated has to
     /// end first; that makes it smaller again.
-    fn admit_to(&mut self, id: &Arc<str>, block: u32, count: u32, round: &mut Round, now: Instant) -> bool {
+    fn allocate_to(
+        &mut self,
+        id: &Arc<str>,
+        block: u32,
+        count: u32,
+        round: &mut Round,
+        now: Instant,
+    ) -> bool {
         let Some(job) = self.open_job(id) else { return false };
-        let ranges = job.unadmitted.head_from(self.admission_start(job, block), count);
+        let ranges = job.unallocated.head_from(self.allocation_start(job, block), count);
         let Some(job) = self.open_job_mut(id) else { return false };
-        let before = job.admitting.clone();
-        let own = job.admitting.entry(block).or_default();
+        let before = job.allocating.clone();
+        let own = job.allocating.entry(block).or_default();
         *own = own.union(&ranges);
         let Some(job) = self.open_job(id) else { return false };
-        let admitted = self.admissions(job);
-        if !self.is_mixed() && stored_size(&self.job_value(&admitted)) > self.limits().value {
+        let allocated = self.allocations(job);
+        if !self.is_mixed() && stored_size(&self.job_value(&allocated)) > self.limits().value {
             if let Some(job) = self.open_job_mut(id) {
-                job.admitting = before;
+                job.allocating = before;
             }
             return false;
         }
@@ -324,17 +333,17 @@
         true
     }
 
-    /// The task from which on a job's next tasks are admitted to a block. Each block
-    /// goes on where it left off in a part of a large job of its own: admitted as they
+    /// The task from which on a job's next tasks are allocated to a block. Each block
+    /// goes on where it left off in a part of a large job of its own: allocated as they
     /// come, to many blocks by turns, its tasks would be in so many ranges that its
     /// record, which names them, is full long before the fleet is.
-    fn admission_start(&self, job: &OpenJob, block: u32) -> u32 {
+    fn allocation_start(&self, job: &OpenJob, block: u32) -> u32 {
         let blocks = self.blocks.len();
         if blocks < MANY_BLOCKS || (job.record.tasks as usize) < LARGE_PART * blocks {
             return 0;
         }
         let last = |ranges: &BTreeMap<u32, Ranges>| ranges.get(&block).and_then(Ranges::last);
-        if let Some(last) = last(&job.record.admitted).max(last(&job.admitting)) {
+        if let Some(last) = last(&job.record.allocated).max(last(&job.allocating)) {
             return last + 1;
         }
         // As many as a block full of the largest machines takes: this does not change
@@ -359,11 +368,11 @@
         }
     }
 
-    /// Admits a little of what fits nowhere now to a block where it starts as
+    /// Allocates a little of what fits nowhere now to a block where it starts as
     /// soon as something there becomes free. The leader needs no such stock in
-    /// its own blocks, unless changes are scarce: then a job that is admitted
+    /// its own blocks, unless changes are scarce: then a job that is allocated
     /// in larger ranges takes fewer of them.
-    fn admit_ahead(&mut self, id: &Arc<str>, left: i64, round: &mut Round, now: Instant) {
+    fn allocate_ahead(&mut self, id: &Arc<str>, left: i64, round: &mut Round, now: Instant) {
         let Some(job) = self.open_job(id) else { return };
         let need = job.need.clone();
         let cpus = need.amounts.cpus;
@@ -386,13 +395,13 @@
             .filter(|(b, _)| self.is_served(**b) && (round.scarce || service || !self.is_holder(**b)))
             .map(|(b, size)| {
                 let free = size / part - round.backlog.get(b).copied().unwrap_or(0);
-                (job.record.admitted.contains_key(b), free / cpus, Reverse(*b))
+                (job.record.allocated.contains_key(b), free / cpus, Reverse(*b))
             })
             .filter(|(_, n, _)| *n > 0)
             .max();
         match best {
             Some((_, most, Reverse(block))) if left > 0 => {
-                self.admit_to(id, block, left.min(most) as u32, round, now);
+                self.allocate_to(id, block, left.min(most) as u32, round, now);
             }
             None if !urgent => round.ahead_full = Some(cpus),
             _ => {}
@@ -434,9 +443,9 @@
             }
             let most = if constrained { job.record.tasks } else { 1000 };
             let ranges: Ranges = job.waiting.get(&block).cloned().unwrap_or_default().head(most);
-            let admitted = job.record.admitted.get(&block).cloned().unwrap_or_default();
+            let allocated = job.record.allocated.get(&block).cloned().unwrap_or_default();
             // What is not committed yet can't be taken back yet.
-            let ranges = ranges.without(&ranges.without(&admitted));
+            let ranges = ranges.without(&ranges.without(&allocated));
             if ranges.is_empty() {
                 continue;
             }
--- a/crates/dapplecroft-controller/src/core/commit.rs
+++ b/crates/dapplecroft-controller/src/core/commit.rs
@@ -53,7 +53,7 @@
 
 impl Core {
     /// The next unit to commit, of anything that has none in flight. What ends
-    /// jobs goes first, then admissions and placements. Ends of other tasks wait
+    /// jobs goes first, then allocations and placements. Ends of other tasks wait
     /// for company, unless changes are plenty (`relaxed`). While they are scarce,
     /// what has the highest priority goes first.
     pub fn next_unit(&mut self, relaxed: bool, only_urgent: bool, now: Instant) -> Option<WorkUnit> {
@@ -167,7 +167,7 @@
         if over {
             self.commits.push_job_end(subject);
         } else {
-            // The first admission of an urgent job goes at once.
+            // The first allocation of an urgent job goes at once.
             let urgent = job.spec.priority < Rank::Normal && self.commits.sent_at(&subject).is_none();
             self.commits.push(subject, urgent);
         }
@@ -255,30 +255,30 @@
         }
         if let Subject::Job(id) = &unit.subject {
             if let Some(job) = self.open_job_mut(id) {
-                job.admitting.clear();
+                job.allocating.clear();
                 job.revoking.clear();
             }
             jobs.insert(id.clone());
         }
         for id in jobs {
             self.rederive(&id);
-            self.drop_unadmitted(&id);
+            self.drop_unallocated(&id);
         }
     }
 
     fn job_unit_ended(&mut self, id: &Arc<str>) {
         if self.role.leadership.is_none()
             && let Some(job) = self.open_job_mut(id)
-            && !(job.admitting.is_empty() && job.revoking.is_empty())
+            && !(job.allocating.is_empty() && job.revoking.is_empty())
         {
             // Decided while this unit was in flight, and gone with the leadership.
-            job.admitting.clear();
+            job.allocating.clear();
             job.revoking.clear();
             self.rederive(id);
         }
-        self.drop_unadmitted(id);
+        self.drop_unallocated(id);
         let more = self.open_job(id).is_some_and(|job| {
-            let decided = !(job.admitting.is_empty() && job.revoking.is_empty());
+            let decided = !(job.allocating.is_empty() && job.revoking.is_empty());
             decided || job.done.len() == job.record.tasks
         });
         if more {
@@ -302,12 +302,12 @@
     }
 
     /// Takes back proposals that found no room in their shard's record, and those
-    /// that are admitted no longer: while a unit of the shard was on its way they
+    /// that are allocated no longer: while a unit of the shard was on its way they
     /// could not be told from what is in it, and nothing else would come to them.
     fn drop_void(&mut self, shard: ShardId, now: Instant) {
         let old = |p: &Placed| now.saturating_duration_since(p.since) > PROPOSAL_TIMEOUT;
         self.drop_placed(shard.block, |job, index, p| {
-            p.home == shard && (old(p) || !job.admits(shard.block, index))
+            p.home == shard && (old(p) || !job.allocates(shard.block, index))
         });
     }
 
--- a/crates/dapplecroft-controller/src/core/commit/tests.rs
+++ b/crates/dapplecroft-controller/src/core/commit/tests.rs
@@ -8,14 +8,14 @@
 
 // A storm (seed 504): a task was proposed while its shard was being committed, and
 // taken back from the block meanwhile. Its proposal stayed: it could not be committed,
-// kept the task from being admitted elsewhere, and on a quiet block nothing ever came
+// kept the task from being allocated elsewhere, and on a quiet block nothing ever came
 // to it again.
 #[test]
-fn what_is_taken_back_while_its_part_is_on_its_way_can_be_admitted_elsewhere() {
+fn what_is_taken_back_while_its_part_is_on_its_way_can_be_allocated_elsewhere() {
     for end in [UnitEnd::NotMade, UnitEnd::Committed(13)] {
         let now = Instant::now();
         let mut core = core();
-        let job = |admitted| job_record("run-1", 2, admitted);
+        let job = |allocated| job_record("run-1", 2, allocated);
         core.apply("dc/j/run-1", Some(job(json!({"0": [[0, 1]]}))), 5, now);
         core.role.leased_blocks.insert(0, BlockLease { epoch: 1, version: 1 });
         let shard = ShardId::new(0, 0);
@@ -33,7 +33,7 @@
             WorkUnit { subject, unit, urgent: false, number: 7, proposals: Vec::new(), absorbed: None };
         core.unit_ended(&unit, end, now);
         let job = core.open_job("run-1").unwrap();
-        assert!(job.placed.is_empty() && job.unadmitted.contains(1), "{end:?}");
+        assert!(job.placed.is_empty() && job.unallocated.contains(1), "{end:?}");
         assert!(core.machines["i-1"].tasks.is_empty());
     }
 }
--- a/crates/dapplecroft-controller/src/core/commit_priority.rs
+++ b/crates/dapplecroft-controller/src/core/commit_priority.rs
@@ -14,7 +14,7 @@
 /// While changes are scarce, a shard without urgent work has its turn at most so
 /// often.
 const SHARD_TURN: Duration = Duration::from_millis(1500);
-/// Each admission outdates what holders are about to commit of the same job, so
+/// Each allocation outdates what holders are about to commit of the same job, so
 /// while changes are scarce a job has its turn less often than a shard.
 const JOB_TURN: Duration = Duration::from_secs(3);
 /// The same for a job of urgent work.
@@ -22,7 +22,7 @@
 /// What is waiting in each shard is counted anew so often.
 const PRIORITIES_VALID_FOR: Duration = Duration::from_millis(150);
 /// How much more urgent work counts among what waits. Work that is not urgent
-/// counts less, but a large admission of it still goes before a few urgent
+/// counts less, but a large allocation of it still goes before a few urgent
 /// tasks: they would keep it back for ever.
 const URGENT_FACTOR: f64 = 8.0;
 /// How much more replicas of services count than other tasks.
@@ -134,8 +134,8 @@
 }
 
 fn job_priority(job: &OpenJob) -> f64 {
-    let admitting: u32 = job.admitting.values().map(Ranges::len).sum();
+    let allocating: u32 = job.allocating.values().map(Ranges::len).sum();
     // Its end frees quota, and somebody waits for it.
     let over = job.done.len() == job.record.tasks;
-    task_priority(job) * f64::from(admitting + if over { job.record.tasks } else { 0 })
+    task_priority(job) * f64::from(allocating + if over { job.record.tasks } else { 0 })
 }
--- a/crates/dapplecroft-controller/src/core/commit_queue.rs
+++ b/crates/dapplecroft-controller/src/core/commit_queue.rs
@@ -10,7 +10,7 @@
 /// Ends of tasks that leave their job unfinished wait this long for others to
 /// share a change with, while changes are scarce.
 const DEFERRED_ENDS_DELAY: Duration = Duration::from_secs(3);
-/// They wait longer for admissions and placements, but not for ever: a worker
+/// They wait longer for allocations and placements, but not for ever: a worker
 /// lists its tasks until their ends are committed.
 const DEFERRED_ENDS_MAX_DELAY: Duration = Duration::from_secs(8);
 
@@ -83,7 +83,7 @@
 pub(super) struct CommitQueue {
     /// What ends jobs.
     job_ends: SubjectQueue,
-    /// Jobs with admissions, and shards with placements, of urgent work.
+    /// Jobs with allocations, and shards with placements, of urgent work.
     urgent: SubjectQueue,
     /// Those of other work.
     normal: SubjectQueue,
@@ -109,7 +109,7 @@
         self.job_ends.push(subject);
     }
 
-    /// Queues admissions or placements.
+    /// Queues allocations or placements.
     pub fn push(&mut self, subject: Subject, urgent: bool) {
         if urgent { self.urgent.push(subject) } else { self.normal.push(subject) }
     }
@@ -132,7 +132,7 @@
         self.deferred_ends.retain(|(_, shard)| shard.block != block);
     }
 
-    /// How many subjects have admissions or placements that wait.
+    /// How many subjects have allocations or placements that wait.
     pub fn backlog(&self) -> usize {
         self.urgent.len() + self.normal.len()
     }
--- a/crates/dapplecroft-controller/src/core/commit_queue/tests.rs
+++ b/crates/dapplecroft-controller/src/core/commit_queue/tests.rs
@@ -27,7 +27,7 @@
     assert_eq!(queue.next_scarce(false, flat, later), Some(NextSubject::normal(shard(3))));
 }
 
-// Urgent shards that came and came once kept large admissions back for ever.
+// Urgent shards that came and came once kept large allocations back for ever.
 #[test]
 fn a_higher_score_goes_before_urgent_work_and_a_negative_one_has_no_turn() {
     let now = Instant::now();
--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -354,10 +354,10 @@
         match self.jobs.get_mut(&id) {
             Some(Job::Final { .. }) => return,
             Some(Job::Open(job)) => {
-                // What was being admitted or taken back is in the record now.
-                for (block, admitted) in &record.admitted {
-                    if let Some(own) = job.admitting.get_mut(block) {
-                        *own = own.without(admitted);
+                // What was being allocated or taken back is in the record now.
+                for (block, allocated) in &record.allocated {
+                    if let Some(own) = job.allocating.get_mut(block) {
+                        *own = own.without(allocated);
                     }
                 }
                 if !job.revoking.is_empty() {
@@ -365,10 +365,10 @@
                     self.unsettled.insert(id.clone());
                 }
                 for (block, revoked) in &mut job.revoking {
-                    let still = record.admitted.get(block).cloned().unwrap_or_default();
+                    let still = record.allocated.get(block).cloned().unwrap_or_default();
                     *revoked = revoked.without(&revoked.without(&still));
                 }
-                job.admitting.retain(|_, r| !r.is_empty());
+                job.allocating.retain(|_, r| !r.is_empty());
                 job.revoking.retain(|_, r| !r.is_empty());
                 job.record = record;
                 job.version = version;
@@ -386,8 +386,8 @@
         self.wakeups.place = true;
         self.stop_withdrawn(&id);
         self.rederive(&id);
-        self.drop_unadmitted(&id);
-        // What was proposed on this admission can be committed now.
+        self.drop_unallocated(&id);
+        // What was proposed on this allocation can be committed now.
         if let Some(job) = self.open_job(&id) {
             let urgent = job.spec.priority < Rank::Normal;
             let own: BTreeSet<ShardId> =
@@ -423,7 +423,7 @@
             placed.stop = Some(Stop::Withdrawn);
             self.wakeups.command.insert(placed.machine.clone());
         }
-        job.admitting.clear();
+        job.allocating.clear();
         job.revoking.clear();
         if job.version > self.followed {
             self.unsettled.insert(id.clone());
--- a/crates/dapplecroft-controller/src/core/copy/tests.rs
+++ b/crates/dapplecroft-controller/src/core/copy/tests.rs
@@ -57,9 +57,9 @@
 fn an_older_record_of_another_block_hides_no_task_that_a_newer_one_has() {
     let now = Instant::now();
     let mut core = core();
-    let mut admitted = job();
-    admitted["to"] = json!({"0": [[1, 3]], "8": [[0, 0]]});
-    core.apply("dc/j/run-1", Some(admitted), 200, now);
+    let mut allocated = job();
+    allocated["to"] = json!({"0": [[1, 3]], "8": [[0, 0]]});
+    core.apply("dc/j/run-1", Some(allocated), 200, now);
     // The task has moved from block 0 to block 8.
     core.apply("dc/p/8", Some(json!({"j": ["run-1"], "m": {"i-8": [[0, 0, 0, 2]]}})), 210, now);
     let set =
@@ -129,7 +129,7 @@
         core.follow(Followed { revision: 5, log: Vec::new() }, now);
         core.apply("dc/j/run-1", Some(job()), 5, now);
         let before = used(&core);
-        let all = core.open_job("run-1").unwrap().record.admitted.clone();
+        let all = core.open_job("run-1").unwrap().record.allocated.clone();
         let Some(Job::Open(open)) = core.jobs.get_mut("run-1") else { panic!("not open") };
         open.revoking = all;
         let mut taken_back = job();
--- a/crates/dapplecroft-controller/src/core/drain.rs
+++ b/crates/dapplecroft-controller/src/core/drain.rs
@@ -114,9 +114,9 @@
         let may_start = |job: &OpenJob| {
             let ready = job.is_open() && job.not_before.is_none_or(|at| at <= now) && job.failures == 0;
             let team = self.teams.get(&job.spec.team);
-            let may_be_admitted =
-                leads && !job.unadmitted.is_empty() && team.is_some_and(|t| t.admits(&job.need.amounts));
-            ready && (job.waiting_in(block) > 0 || may_be_admitted)
+            let may_be_allocated =
+                leads && !job.unallocated.is_empty() && team.is_some_and(|t| t.allocates(&job.need.amounts));
+            ready && (job.waiting_in(block) > 0 || may_be_allocated)
         };
         let waiting = self.waiting.iter().filter_map(|id| Some((id, self.open_job(id)?)));
         waiting
--- a/crates/dapplecroft-controller/src/core/federation/home.rs
+++ b/crates/dapplecroft-controller/src/core/federation/home.rs
@@ -46,12 +46,12 @@
     }
 
     /// Whether nothing of it was ever started, and nothing can be under its record as it
-    /// is: every placement rests on an admission, and none is left that the copy has not
+    /// is: every placement rests on an allocation, and none is left that the copy has not
     /// caught up with.
     pub(super) fn is_untouched(&self, followed: u64) -> bool {
-        let not_admitted = self.record.admitted.is_empty() && self.admitting.is_empty();
+        let not_allocated = self.record.allocated.is_empty() && self.allocating.is_empty();
         let settled = self.revoking.is_empty() && self.revoked <= followed && self.version <= followed;
-        self.has_not_started() && not_admitted && settled
+        self.has_not_started() && not_allocated && settled
     }
 
     fn wish(&self) -> Wish {
--- a/crates/dapplecroft-controller/src/core/federation/tests.rs
+++ b/crates/dapplecroft-controller/src/core/federation/tests.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 /// A leader of a cell with one peer, and a job of that which is here.
-fn visited(admitted: Value) -> Core {
+fn visited(allocated: Value) -> Core {
     let peer = RawPeer {
         name: "b".into(),
         endpoints: vec!["10.2.0.1:1".into()],
@@ -24,21 +24,21 @@
     core.options.federation = Some(Federation::check(&raw).unwrap());
     core.format = 2;
     core.role.leadership = Some(1);
-    core.apply("dc/j/run-1", Some(visiting(admitted)), 5, Instant::now());
+    core.apply("dc/j/run-1", Some(visiting(allocated)), 5, Instant::now());
     core.caught_up(10);
     core
 }
 
-fn visiting(admitted: Value) -> Value {
+fn visiting(allocated: Value) -> Value {
     let spec = job_record("run-1", 2, json!({}))["spec"].clone();
-    json!({"s": "visiting", "n": 2, "to": admitted, "at": 0.0, "spec": spec, "or": {"c": "b", "i": 1, "e": 7}})
+    json!({"s": "visiting", "n": 2, "to": allocated, "at": 0.0, "spec": spec, "or": {"c": "b", "i": 1, "e": 7}})
 }
 
 // A placement is bound to the job's record and leaves it as it is: a holder's could have
 // been committed just before the job was given back, and would have run on while its home
 // cell started the job again.
 #[test]
-fn a_job_is_given_back_only_once_nothing_of_it_is_admitted_and_that_is_caught_up_with() {
+fn a_job_is_given_back_only_once_nothing_of_it_is_allocated_and_that_is_caught_up_with() {
     let later = Instant::now() + Duration::from_secs(100);
     let mut core = visited(json!({"0": "0-1"}));
     assert!(core.return_units(9, later).is_empty(), "a holder may be placing it");
--- a/crates/dapplecroft-controller/src/core/federation/visitor.rs
+++ b/crates/dapplecroft-controller/src/core/federation/visitor.rs
@@ -21,7 +21,7 @@
 /// Bytes of a value that are kept for what is noted of a job later on.
 const NOTES: usize = 300;
 
-/// For so long nothing is admitted of a job that is to be given back.
+/// For so long nothing is allocated of a job that is to be given back.
 const RETURN_HOLD: Duration = Duration::from_secs(5);
 
 /// What follows from a request of another cell.
@@ -127,7 +127,7 @@
         let record = JobRecord {
             stage: JobStage::Visiting,
             tasks: spec.tasks,
-            admitted: BTreeMap::new(),
+            allocated: BTreeMap::new(),
             legacy_done: Default::default(),
             done: None,
             at: request.submitted,
@@ -258,8 +258,8 @@
         visits.filter(|id| self.open_job(id).is_some_and(overdue)).cloned().collect()
     }
 
-    /// Takes back what is admitted of jobs that are to be given back, and admits nothing
-    /// of them for a while. A placement rests on an admission and does not change the
+    /// Takes back what is allocated of jobs that are to be given back, and allocates nothing
+    /// of them for a while. A placement rests on an allocation and does not change the
     /// job's record: only once none is left, and the copy has caught up with that, is it
     /// known that nothing was placed.
     pub fn prepare_returns(&mut self, now: Instant) {
@@ -267,17 +267,17 @@
             let in_flight = self.commits.is_in_flight(&Subject::Job(id.clone()));
             let Some(job) = self.open_job_mut(&id) else { continue };
             job.not_before = job.not_before.max(Some(now + RETURN_HOLD));
-            if in_flight || !job.admitting.is_empty() || job.record.admitted.is_empty() {
+            if in_flight || !job.allocating.is_empty() || job.record.allocated.is_empty() {
                 continue;
             }
-            job.revoking = job.record.admitted.clone();
+            job.revoking = job.record.allocated.clone();
             self.rederive(&id);
             self.mark_job(&id);
         }
     }
 
     /// Units that give back jobs of other cells of which nothing was ever started or is
-    /// admitted. Each is bound to the job's record, as every admission is.
+    /// allocated. Each is bound to the job's record, as every allocation is.
     pub fn return_units(&self, most: usize, now: Instant) -> Vec<Unit> {
         let untouched = |id: &Arc<str>| self.open_job(id).is_some_and(|job| job.is_untouched(self.followed));
         let due = self.overdue_visits(now).into_iter().filter(untouched).take(most);
--- a/crates/dapplecroft-controller/src/core/groups.rs
+++ b/crates/dapplecroft-controller/src/core/groups.rs
@@ -209,7 +209,7 @@
         let given_up_groups = self.groups_of(give_up);
         let touched = |name: &str| released_groups.contains(name) || given_up_groups.contains(name);
         // A wave of lost machines touches nearly all groups, again and again.
-        // Few are written at a time, or admissions and placements would wait
+        // Few are written at a time, or allocations and placements would wait
         // behind them until the wave is over.
         let most = (self.limits().changes / 2).max(2);
         let left = most.saturating_sub(self.groups_on_way());
--- a/crates/dapplecroft-controller/src/core/machine_fate.rs
+++ b/crates/dapplecroft-controller/src/core/machine_fate.rs
@@ -189,8 +189,8 @@
         let mut needs: WantedNeeds = Vec::new();
         for job in self.waiting.iter().filter_map(|id| self.open_job(id)) {
             let headroom = self.teams.get(&job.spec.team).map_or(0, |b| b.headroom(&job.need.amounts));
-            let admitted: i64 = job.waiting.values().map(|r| i64::from(r.len())).sum();
-            let count = admitted + i64::from(job.unadmitted.len()).min(headroom);
+            let allocated: i64 = job.waiting.values().map(|r| i64::from(r.len())).sum();
+            let count = allocated + i64::from(job.unallocated.len()).min(headroom);
             if count == 0 || job.failures > 0 {
                 continue;
             }
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -2,7 +2,7 @@
 //! the records, the workers' sessions, and the difference between what is
 //! wanted and what is. The loops around it carry out what it asks for.
 
-mod admission;
+mod allocation;
 mod blocks;
 mod capacity_usage;
 mod commit;
@@ -121,7 +121,7 @@
     /// Jobs that are not over, anywhere.
     pub jobs: usize,
     /// Tasks that no block has.
-    pub unadmitted: u32,
+    pub unallocated: u32,
     /// Records of what runs in its blocks, and their bytes.
     pub shards: usize,
     /// How many bytes they take together.
@@ -195,7 +195,7 @@
     /// task looks only at those where it may fit.
     machines_by_free_cpus: BTreeMap<u32, BTreeSet<(i64, Arc<str>)>>,
     /// Room that other holders have told of.
-    hints: BTreeMap<ShardId, admission::Hint>,
+    hints: BTreeMap<ShardId, allocation::Hint>,
     /// What runs in each block, by its records.
     pub shards: BTreeMap<ShardId, Shard>,
     /// What proposals add to the weight of shards.
@@ -382,7 +382,7 @@
         }
     }
 
-    /// How many jobs have admissions or placements that wait to be committed.
+    /// How many jobs have allocations or placements that wait to be committed.
     pub fn backed_up(&self) -> usize {
         self.commits.backlog()
     }
@@ -409,8 +409,8 @@
 
     /// Takes back proposals for tasks that the leader has taken back since from
     /// the block: the record that they would be bound to no longer allows them.
-    fn drop_unadmitted(&mut self, id: &Arc<str>) {
-        self.drop_if(id, |job, index, p| !job.admits(p.home.block, index));
+    fn drop_unallocated(&mut self, id: &Arc<str>) {
+        self.drop_if(id, |job, index, p| !job.allocates(p.home.block, index));
     }
 
     /// Takes back proposed placements. Those in a block with a unit on its way
@@ -473,7 +473,7 @@
         }
         summary.layout = self.format;
         for job in self.open.iter().filter_map(|id| self.open_job(id)) {
-            summary.unadmitted += job.unadmitted.len();
+            summary.unallocated += job.unallocated.len();
             let own = job.waiting.iter().filter(|(b, _)| self.is_holder(**b));
             summary.waiting += own.map(|(_, r)| r.len()).sum::<u32>();
         }
--- a/crates/dapplecroft-controller/src/core/placing.rs
+++ b/crates/dapplecroft-controller/src/core/placing.rs
@@ -140,7 +140,7 @@
     pub job: Arc<str>,
     pub need: Arc<Need>,
     /// Tasks that wait in each own block, and (`None`) those that the leader may
-    /// still admit to any.
+    /// still allocate to any.
     pub here: BTreeMap<Option<u32>, i64>,
     /// All tasks for which machines are wanted.
     pub count: i64,
@@ -266,7 +266,7 @@
             }
             if leads {
                 self.take_back_stalled(id, &round, now);
-                self.admit(id, &mut round, now);
+                self.allocate(id, &mut round, now);
             }
             unplaced.extend(self.left_unplaced(id, &mut round, leads));
         }
@@ -311,12 +311,12 @@
                 here.insert(Some(*block), i64::from(ranges.len()));
             }
         }
-        if leads && !job.unadmitted.is_empty() {
+        if leads && !job.unallocated.is_empty() {
             let book = round
                 .books
                 .entry(job.spec.team.clone())
                 .or_insert_with(|| self.teams.get(&job.spec.team).cloned().unwrap_or_default());
-            let room = book.headroom(&need.amounts).min(i64::from(job.unadmitted.len()));
+            let room = book.headroom(&need.amounts).min(i64::from(job.unallocated.len()));
             book.used += need.amounts.times(room);
             if room > 0 {
                 here.insert(None, room);
--- a/crates/dapplecroft-controller/src/core/roles.rs
+++ b/crates/dapplecroft-controller/src/core/roles.rs
@@ -89,17 +89,17 @@
             tracing::info!(why, "no longer leader");
         }
         self.wakeups.role = true;
-        // Admissions that are on their way are settled by their commits, which
+        // Allocations that are on their way are settled by their commits, which
         // name the leader's key; the others are void.
         let jobs: Vec<Arc<str>> = self.open.iter().cloned().collect();
         for id in jobs {
             let Some(Job::Open(job)) = self.jobs.get_mut(&id) else { continue };
-            let decided = !(job.admitting.is_empty() && job.revoking.is_empty());
+            let decided = !(job.allocating.is_empty() && job.revoking.is_empty());
             if decided && !self.commits.is_in_flight(&Subject::Job(id.clone())) {
-                job.admitting.clear();
+                job.allocating.clear();
                 job.revoking.clear();
                 self.rederive(&id);
-                self.drop_unadmitted(&id);
+                self.drop_unallocated(&id);
             }
         }
         self.fleet = fleet::FleetState::default();
--- a/crates/dapplecroft-controller/src/core/testing.rs
+++ b/crates/dapplecroft-controller/src/core/testing.rs
@@ -21,9 +21,9 @@
 }
 
 /// The record of an open job, as the first layout wrote it, with tasks of one
-/// CPU and what is admitted of them to each block.
-pub(super) fn job_record(id: &str, tasks: u32, admitted: Value) -> Value {
-    json!({"stage": "open", "tasks": tasks, "to": admitted, "spec": {"id": id, "lane": "c", "crew": "t",
+/// CPU and what is allocated of them to each block.
+pub(super) fn job_record(id: &str, tasks: u32, allocated: Value) -> Value {
+    json!({"stage": "open", "tasks": tasks, "to": allocated, "spec": {"id": id, "lane": "c", "crew": "t",
         "form": "sweep", "rank": "normal", "shares": tasks, "cpus": 1.0, "gpus": 0.0, "memory_gb": 1.0,
         "reckon_s": 10.0}})
 }
--- a/crates/dapplecroft-controller/src/core/units.rs
+++ b/crates/dapplecroft-controller/src/core/units.rs
@@ -125,10 +125,10 @@
         let mut scale = Scale::new(&record, limits.value, whole);
         for (_, _, task, p) in waiting {
             // A task is placed only while its job is open and the record of the
-            // job, to whose version the unit is bound, admits it to the block.
+            // job, to whose version the unit is bound, allocates it to the block.
             let Some(job) = self.open_job(&task.job) else { continue };
-            let admitted = job.record.admitted.get(&id.block).is_some_and(|r| r.contains(task.index));
-            if !job.is_open() || !admitted {
+            let allocated = job.record.allocated.get(&id.block).is_some_and(|r| r.contains(task.index));
+            if !job.is_open() || !allocated {
                 continue;
             }
             // A value and a transaction have limits: the rest waits.
@@ -179,7 +179,7 @@
     }
 
     /// The record of a job once its user has withdrawn it, and the version that it
-    /// replaces. If none of its tasks was admitted to a block, none was placed,
+    /// replaces. If none of its tasks was allocated to a block, none was placed,
     /// and none ever will be, since every placement is bound to the record: then
     /// this is its final form already. That none was placed is certain only once
     /// the copy has caught up with the record, which may have been read by itself:
@@ -187,16 +187,16 @@
     pub fn withdrawal(&self, id: &str) -> Option<(JobRecord, u64)> {
         let job = self.open_job(id)?;
         let done = job.done.len();
-        let untouched = job.record.admitted.is_empty() && job.placed.is_empty();
+        let untouched = job.record.allocated.is_empty() && job.placed.is_empty();
         let record = if untouched && job.version <= self.followed {
             job.record.compact(JobStage::Withdrawn, done)
         } else {
-            // What was admitted where is of no use any more, and may be long.
-            let (admitted, legacy_done) = Default::default();
+            // What was allocated where is of no use any more, and may be long.
+            let (allocated, legacy_done) = Default::default();
             JobRecord {
                 stage: JobStage::Withdrawn,
                 done: Some(done),
-                admitted,
+                allocated,
                 legacy_done,
                 ..job.record.clone()
             }
@@ -204,7 +204,7 @@
         Some((record, job.version))
     }
 
-    /// What is to be committed of a job: admissions, what is taken back, its end.
+    /// What is to be committed of a job: allocations, what is taken back, its end.
     pub(super) fn job_unit(&self, id: &Arc<str>) -> Option<(Unit, Vec<(TaskId, Placed)>)> {
         let leadership = self.role.leadership.filter(|_| self.fleet.ready());
         let job = self.open_job(id)?;
@@ -222,7 +222,7 @@
             let done = job.record.done.unwrap_or(0).max(job.done.len());
             job.record.compact(job.record.stage, done)
         } else {
-            self.admissions(job)
+            self.allocations(job)
         };
         if record.spec.is_some() {
             conditions.push(Condition { key: records::LEADER.into(), version: leadership? });
@@ -265,30 +265,30 @@
 
     /// A job's record with this leader's decisions. While the first layout is in
     /// force, what is done is noted in it as well, so that blocks need not.
-    pub(super) fn admissions(&self, job: &OpenJob) -> JobRecord {
+    pub(super) fn allocations(&self, job: &OpenJob) -> JobRecord {
         let mut record = job.record.clone();
-        if job.admitting.is_empty() && job.revoking.is_empty() {
+        if job.allocating.is_empty() && job.revoking.is_empty() {
             return record;
         }
-        for (block, ranges) in &job.admitting {
-            let admitted = record.admitted.entry(*block).or_default();
-            *admitted = admitted.union(ranges);
+        for (block, ranges) in &job.allocating {
+            let allocated = record.allocated.entry(*block).or_default();
+            *allocated = allocated.union(ranges);
         }
         for (block, ranges) in &job.revoking {
-            if let Some(admitted) = record.admitted.get_mut(block) {
-                *admitted = admitted.without(ranges);
+            if let Some(allocated) = record.allocated.get_mut(block) {
+                *allocated = allocated.without(ranges);
             }
         }
         if self.is_mixed() {
             record.legacy_done = record.legacy_done.union(&job.done);
         }
-        for admitted in record.admitted.values_mut() {
-            *admitted = admitted.without(&job.done);
+        for allocated in record.allocated.values_mut() {
+            *allocated = allocated.without(&job.done);
             if !self.is_mixed() {
-                *admitted = admitted.bridge(&job.done);
+                *allocated = allocated.bridge(&job.done);
             }
         }
-        record.admitted.retain(|_, r| !r.is_empty());
+        record.allocated.retain(|_, r| !r.is_empty());
         record
     }
 
--- a/crates/dapplecroft-controller/src/jobs.rs
+++ b/crates/dapplecroft-controller/src/jobs.rs
@@ -106,11 +106,11 @@
     /// Completed tasks.
     pub done: Ranges,
     /// Tasks that no block has, nor is being given.
-    pub unadmitted: Ranges,
-    /// Tasks that wait in each block that they are admitted to, or will be.
+    pub unallocated: Ranges,
+    /// Tasks that wait in each block that they are allocated to, or will be.
     pub waiting: BTreeMap<u32, Ranges>,
-    /// Admissions by this leader that are not committed yet.
-    pub admitting: BTreeMap<u32, Ranges>,
+    /// Allocations by this leader that are not committed yet.
+    pub allocating: BTreeMap<u32, Ranges>,
     /// Waiting tasks that this leader takes back, not committed yet.
     pub revoking: BTreeMap<u32, Ranges>,
     /// Version of the record with which tasks were last taken back from blocks.
@@ -194,9 +194,9 @@
             tries: BTreeMap::new(),
             placed: BTreeMap::new(),
             done: Ranges::default(),
-            unadmitted: Ranges::default(),
+            unallocated: Ranges::default(),
             waiting: BTreeMap::new(),
-            admitting: BTreeMap::new(),
+            allocating: BTreeMap::new(),
             revoking: BTreeMap::new(),
             revoked: 0,
             stalled: BTreeMap::new(),
@@ -221,22 +221,22 @@
         }
         self.done = done;
         self.waiting.clear();
-        self.unadmitted = Ranges::default();
+        self.unallocated = Ranges::default();
         if !self.is_open() {
             return;
         }
         let taken = self.done.union(&Ranges::ascending(self.placed.keys().copied()));
         // One that was taken back from a block while it was being placed there
         // is on its machine all the same.
-        let mut admitted = taken.clone();
+        let mut allocated = taken.clone();
         let blocks: BTreeSet<u32> =
-            self.record.admitted.keys().chain(self.admitting.keys()).copied().collect();
+            self.record.allocated.keys().chain(self.allocating.keys()).copied().collect();
         for block in blocks {
-            let mut own = self.record.admitted.get(&block).cloned().unwrap_or_default();
-            if let Some(more) = self.admitting.get(&block) {
+            let mut own = self.record.allocated.get(&block).cloned().unwrap_or_default();
+            if let Some(more) = self.allocating.get(&block) {
                 own = own.union(more);
             }
-            admitted = admitted.union(&own);
+            allocated = allocated.union(&own);
             let mut waiting = own.without(&taken);
             if let Some(less) = self.revoking.get(&block) {
                 waiting = waiting.without(less);
@@ -245,7 +245,7 @@
                 self.waiting.insert(block, waiting);
             }
         }
-        self.unadmitted = Ranges::below(self.record.tasks).without(&admitted);
+        self.unallocated = Ranges::below(self.record.tasks).without(&allocated);
     }
 
     /// Completed tasks that no block's record needs to have.
@@ -291,12 +291,12 @@
         self.spec.one_zone || self.spec.spread
     }
 
-    /// How many tasks count against the team: all that are admitted and not
+    /// How many tasks count against the team: all that are allocated and not
     /// done, since a holder may have them running; of a withdrawn job, those
     /// not proven to have left their machines.
     pub fn counts(&self) -> i64 {
         if self.is_open() {
-            let free = self.done.len() + self.unadmitted.len();
+            let free = self.done.len() + self.unallocated.len();
             i64::from(self.record.tasks.saturating_sub(free))
         } else {
             self.placed.values().filter(|p| p.committed).count() as i64
@@ -309,10 +309,10 @@
         if self.is_open() { self.revoked } else { self.version }
     }
 
-    /// Whether a task is admitted to a block, or is being admitted.
-    pub fn admits(&self, block: u32, index: u32) -> bool {
+    /// Whether a task is allocated to a block, or is being allocated.
+    pub fn allocates(&self, block: u32, index: u32) -> bool {
         let within = |ranges: &BTreeMap<u32, Ranges>| ranges.get(&block).is_some_and(|r| r.contains(index));
-        within(&self.record.admitted) || within(&self.admitting)
+        within(&self.record.allocated) || within(&self.allocating)
     }
 
     /// How many tasks wait in a block.
@@ -322,7 +322,7 @@
 
     /// Whether any task waits anywhere.
     pub fn waits(&self) -> bool {
-        !self.unadmitted.is_empty() || !self.waiting.is_empty()
+        !self.unallocated.is_empty() || !self.waiting.is_empty()
     }
 
     /// Tasks that are not done.
--- a/crates/dapplecroft-controller/src/legacy.rs
+++ b/crates/dapplecroft-controller/src/legacy.rs
@@ -26,7 +26,7 @@
     stage: JobStage,
     tasks: u32,
     #[serde(rename = "to", default, skip_serializing_if = "BTreeMap::is_empty")]
-    admitted: BTreeMap<u32, Pieces>,
+    allocated: BTreeMap<u32, Pieces>,
     #[serde(rename = "folded", default, skip_serializing_if = "Vec::is_empty")]
     legacy_done: Pieces,
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -90,7 +90,7 @@
     read(value, "stage", |old: OldJob| JobRecord {
         stage: old.stage,
         tasks: old.tasks,
-        admitted: old.admitted.into_iter().map(|(b, p)| (b, Ranges::from_pieces(p))).collect(),
+        allocated: old.allocated.into_iter().map(|(b, p)| (b, Ranges::from_pieces(p))).collect(),
         legacy_done: Ranges::from_pieces(old.legacy_done),
         done: old.done,
         at: old.at,
@@ -105,7 +105,7 @@
     value(&OldJob {
         stage: job.stage,
         tasks: job.tasks,
-        admitted: job.admitted.iter().map(|(b, r)| (*b, pieces(r))).collect(),
+        allocated: job.allocated.iter().map(|(b, r)| (*b, pieces(r))).collect(),
         legacy_done: pieces(&job.legacy_done),
         done: job.done,
         at: job.at,
--- a/crates/dapplecroft-controller/src/legacy/tests.rs
+++ b/crates/dapplecroft-controller/src/legacy/tests.rs
@@ -25,7 +25,7 @@
 fn the_second_layout_of_a_job_has_no_field_that_the_first_version_needs() {
     let old = json!({"stage": "open", "tasks": 4, "to": {"0": [[0, 3]]}, "at": 5.0});
     let record = read_job(old.clone()).unwrap();
-    assert_eq!(record.admitted[&0].len(), 4);
+    assert_eq!(record.allocated[&0].len(), 4);
     let new = serde_json::to_value(&record).unwrap();
     assert_eq!(new, json!({"s": "open", "n": 4, "to": {"0": "0-3"}, "at": 5.0}));
     assert!(serde_json::from_value::<OldJob>(new.clone()).is_err());
--- a/crates/dapplecroft-controller/src/loops/work.rs
+++ b/crates/dapplecroft-controller/src/loops/work.rs
@@ -153,7 +153,7 @@
                 machines = s.machines,
                 open = s.open_machines,
                 jobs = s.jobs,
-                unadmitted = s.unadmitted,
+                unallocated = s.unallocated,
                 waiting = s.waiting,
                 placed = s.placed,
                 free_percent = s.free_percent,
--- a/crates/dapplecroft-controller/src/records.rs
+++ b/crates/dapplecroft-controller/src/records.rs
@@ -217,10 +217,10 @@
     /// Number of tasks.
     #[serde(rename = "n")]
     pub tasks: u32,
-    /// Tasks that the leader has admitted to each block. Only the holder of
+    /// Tasks that the leader has allocated to each block. Only the holder of
     /// that block places them. Completed tasks between them may be named too.
     #[serde(rename = "to", default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub admitted: BTreeMap<u32, Ranges>,
+    pub allocated: BTreeMap<u32, Ranges>,
     /// Completed tasks that a record of the first layout named; in this one
     /// they have records of their own ([`Key::CompletedTasks`]).
     #[serde(skip)]
@@ -248,7 +248,7 @@
         JobRecord {
             stage,
             tasks: self.tasks,
-            admitted: BTreeMap::new(),
+            allocated: BTreeMap::new(),
             legacy_done: Ranges::default(),
             done: Some(done),
             at: self.at,
--- a/crates/dapplecroft-controller/src/users.rs
+++ b/crates/dapplecroft-controller/src/users.rs
@@ -160,7 +160,7 @@
         let record = JobRecord {
             stage: JobStage::Open,
             tasks: spec.tasks,
-            admitted: Default::default(),
+            allocated: Default::default(),
             legacy_done: Default::default(),
             done: None,
             at,
--- a/crates/dapplecroft-controller/tests/stories/blocks.rs
+++ b/crates/dapplecroft-controller/tests/stories/blocks.rs
@@ -110,18 +110,18 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn admissions_of_a_leader_that_was_replaced_are_void() {
+async fn allocations_of_a_leader_that_was_replaced_are_void() {
     let c = spread(3, &[]).await;
     c.submit("run-1", "tight", 1, 8.0, "normal").await;
     c.until_stage("run-1", "done").await;
     let old = c.leader().unwrap();
     c.net.rule(Rule::all(&host(old), STATE, Action::Hold).path("/multi").body("\"to\":{"));
     c.submit("run-2", "tight", 4, 8.0, "normal").await;
-    c.until("the admission is held", || c.net.held() > 0).await;
+    c.until("the allocation is held", || c.net.held() > 0).await;
     c.state.end_leases();
     c.net.rule(Rule::all(&host(old), STATE, Action::Drop));
     c.until("another leader", || c.leader().is_some_and(|n| n != old)).await;
-    c.until("it admits too", || c.referee.starts("run-2/0") > 0).await;
+    c.until("it allocates too", || c.referee.starts("run-2/0") > 0).await;
     let codes = c.net.deliver().await;
     assert!(codes.iter().all(|code| *code == 409), "{codes:?}");
     c.net.clear_rules();
--- a/crates/dapplecroft-controller/tests/stories/combined_faults.rs
+++ b/crates/dapplecroft-controller/tests/stories/combined_faults.rs
@@ -51,7 +51,7 @@
 }
 
 // A job whose tasks have to be in one zone, or apart, stayed with the block that
-// it was admitted to although nothing of it ran any more and other machines idled.
+// it was allocated to although nothing of it ran any more and other machines idled.
 #[tokio::test(start_paused = true)]
 async fn a_job_bound_to_zones_that_lost_its_machine_goes_where_there_is_room() {
     for constraint in ["same_place", "apart"] {
--- a/crates/dapplecroft-controller/tests/stories/fleet.rs
+++ b/crates/dapplecroft-controller/tests/stories/fleet.rs
@@ -52,9 +52,9 @@
     c.assert_rules_kept();
 }
 
-// Records of machines once kept admissions from being committed for 25 s.
+// Records of machines once kept allocations from being committed for 25 s.
 #[tokio::test(start_paused = true)]
-async fn a_wave_of_lost_machines_holds_up_no_admission() {
+async fn a_wave_of_lost_machines_holds_up_no_allocation() {
     let options = Options { block_machines: Some(1), ..Options::default() };
     let c = running(40, 300, options).await;
     // Half of what runs can't end; room is on the other machines.
--- a/crates/dapplecroft-controller/tests/stories/large_fleet.rs
+++ b/crates/dapplecroft-controller/tests/stories/large_fleet.rs
@@ -101,7 +101,7 @@
 }
 
 // A job's record names each block that runs some of it, so with values of 2 KiB one
-// job does not run on all machines at once. Its tasks are admitted to each block in
+// job does not run on all machines at once. Its tasks are allocated to each block in
 // one range; by turns, as they came, it ran 2,880 of them.
 #[tokio::test(start_paused = true)]
 async fn one_job_runs_on_most_of_4000_machines_within_the_smallest_limits() {
--- a/crates/dapplecroft-federation/tests/hand_over.rs
+++ b/crates/dapplecroft-federation/tests/hand_over.rs
@@ -164,7 +164,7 @@
             } else {
                 let mut after = self.clone();
                 (after.runs, after.ever_ran) = (true, true);
-                // The first start rests on an admission, which is committed on the job's
+                // The first start rests on an allocation, which is committed on the job's
                 // record, as a return is.
                 after.on_way.clear();
                 next.push(after);
--- a/crates/dapplecroft-sched/src/teams.rs
+++ b/crates/dapplecroft-sched/src/teams.rs
@@ -16,7 +16,7 @@
 
 impl TeamBook {
     /// Whether a task may start without exceeding the limit.
-    pub fn admits(&self, task: &Amounts) -> bool {
+    pub fn allocates(&self, task: &Amounts) -> bool {
         let ok = |used: i64, more: i64, limit: i64| limit == 0 || more == 0 || used + more <= limit;
         ok(self.used.cpus, task.cpus, self.limit.cpus) && ok(self.used.gpus, task.gpus, self.limit.gpus)
     }
--- a/crates/dapplecroft-sched/src/teams/tests.rs
+++ b/crates/dapplecroft-sched/src/teams/tests.rs
@@ -8,12 +8,12 @@
     ]);
     let task = Amounts::new(3.0, 0.0, 100.0);
     teams.book("free", task.times(1000));
-    assert!(teams.get("free").unwrap().admits(&task));
+    assert!(teams.get("free").unwrap().allocates(&task));
     assert!(!teams.get("free").unwrap().guarantees(&task));
     teams.book("tight", task.times(2));
     let tight = teams.get("tight").unwrap();
-    assert!(!tight.admits(&task) && tight.headroom(&task) == 0);
+    assert!(!tight.allocates(&task) && tight.headroom(&task) == 0);
     assert!(tight.beyond_guarantee() && tight.guarantees(&task));
     teams.unbook("tight", task);
-    assert!(teams.get("tight").unwrap().admits(&task));
+    assert!(teams.get("tight").unwrap().allocates(&task));
 }
