Admission control: credit, ledger and planner, and their place in the controller

When more is submitted than can be done, controllers must agree on what is accepted. Change: dapplecroft-admission (pure): limit, charge, ledger, spender, demand sketches, weighted max-min, planner; the controller binds a submission to its epoch and names the grant in the job's record; the leader asks for demand over gRPC and grants in one transaction a round. Off unless settings ask for it; no command and no file switches it on yet, and no stories play it yet.

--- /dev/null
+++ b/crates/dapplecroft-admission/src/ledger.rs
@@ -0,0 +1,313 @@
+//! Outstanding work and credit, by the records.
+//!
+//! What a ledger tells is never too low, as long as grants come from the one leader that
+//! asks it: accepting a job turns credit into outstanding work, the end of a job makes
+//! less of that, and a copy that lags behind sees either later. Credit of an epoch that
+//! has ended counts until the copy has caught up with the end: what was spent under it
+//! is known by then, and nothing can be spent any more.
+
+use crate::records::{
+    Bucket, CreditTag, EpochRecord, GrantPage, HostGrant, PolicyRecord, Reservation, ReservationsRecord,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// How long accepted work counts as recent: it decays by this time constant.
+pub const RECENT: Duration = Duration::from_secs(60);
+
+/// What a job's record says of it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct JobCharge {
+    /// Its bucket.
+    pub bucket: Bucket,
+    /// What it is charged, by its tag if it has one.
+    pub charge: u64,
+    /// The grant that it spent.
+    pub tag: Option<CreditTag>,
+    /// Whether it is over.
+    pub over: bool,
+    /// Seconds since 1970 at its submission.
+    pub accepted_at: f64,
+}
+
+/// Credit that can't be spent any more, but may have been.
+#[derive(Debug, Clone, Copy)]
+struct Ended {
+    revision: u64,
+    left: u64,
+}
+
+/// What was accepted lately, decaying.
+#[derive(Debug, Clone, Copy, Default)]
+struct Recent {
+    work: f64,
+    at: f64,
+}
+
+impl Recent {
+    fn at(&self, now: f64) -> f64 {
+        self.work * (-(now - self.at).max(0.0) / RECENT.as_secs_f64()).exp()
+    }
+
+    fn add(&mut self, work: f64, at: f64) {
+        let (early, late) = if at < self.at { (at, self.at) } else { (self.at, at) };
+        let decayed = (-(late - early) / RECENT.as_secs_f64()).exp();
+        self.work = if at < self.at { self.work + work * decayed } else { self.work * decayed + work };
+        self.at = late;
+    }
+}
+
+/// Outstanding work and credit.
+#[derive(Debug, Clone, Default)]
+pub struct Ledger {
+    policy: Option<(PolicyRecord, u64)>,
+    epochs: BTreeMap<String, (EpochRecord, u64)>,
+    pages: BTreeMap<u32, (GrantPage, u64)>,
+    reservations: (ReservationsRecord, u64),
+    /// Jobs with a reservation that have been accepted: nothing is left of it.
+    used: BTreeSet<String>,
+    /// What each epoch of a controller has spent, by bucket.
+    spent: BTreeMap<(String, u64), BTreeMap<Bucket, u64>>,
+    /// Jobs that are not over.
+    open: BTreeMap<String, (Bucket, u64)>,
+    outstanding: BTreeMap<Bucket, u64>,
+    total: u64,
+    recent: BTreeMap<Bucket, Recent>,
+    ended: Vec<Ended>,
+    followed: u64,
+    /// The version of the last page that could not be read: it may grant anything to the
+    /// epochs that are older.
+    unreadable: u64,
+}
+
+impl Ledger {
+    /// Takes over the policy's record.
+    pub fn apply_policy(&mut self, record: Option<PolicyRecord>, version: u64) {
+        self.policy = record.map(|record| (record, version));
+    }
+
+    /// Takes over which process may spend a controller's credit.
+    pub fn apply_epoch(&mut self, host: &str, record: Option<EpochRecord>, version: u64) {
+        let left = self.credit_of(host);
+        let ended = self.epochs.get(host).is_some_and(|(old, _)| {
+            record.as_ref().is_none_or(|new| new.epoch != old.epoch || new.identity != old.identity)
+        });
+        if ended && left > 0 && version > self.followed {
+            self.ended.push(Ended { revision: version, left });
+        }
+        match record {
+            Some(record) => {
+                let epoch = record.epoch;
+                self.epochs.insert(host.to_string(), (record, version));
+                self.spent.retain(|(other, spent), _| other != host || *spent >= epoch);
+            }
+            None => {
+                self.epochs.remove(host);
+            }
+        }
+    }
+
+    /// Takes over some controllers' grants.
+    pub fn apply_page(&mut self, page: u32, record: Option<GrantPage>, version: u64) {
+        match record {
+            Some(record) => self.pages.insert(page, (record, version)),
+            None => self.pages.remove(&page),
+        };
+    }
+
+    /// Notes that a page can't be read, or is gone.
+    pub fn note_unreadable_page(&mut self, version: u64) {
+        self.unreadable = self.unreadable.max(version);
+    }
+
+    /// Whether a controller may have credit that can't be told.
+    pub fn may_have_untold_credit(&self, host: &str) -> bool {
+        self.epochs.get(host).is_some_and(|(_, version)| *version < self.unreadable)
+    }
+
+    /// Takes over what is kept for single jobs.
+    pub fn apply_reservations(&mut self, record: Option<ReservationsRecord>, version: u64) {
+        let record = record.unwrap_or_default();
+        let gone = |id: &String| !record.jobs.contains_key(id);
+        let left = self.unused().filter(|(id, _)| gone(id)).map(|(_, reservation)| reservation.charge).sum();
+        if version > self.followed && left > 0 {
+            self.ended.push(Ended { revision: version, left });
+        }
+        self.used.retain(|id| record.jobs.contains_key(id));
+        let open = record.jobs.keys().filter(|id| self.open.contains_key(*id));
+        self.used.extend(open.cloned());
+        self.reservations = (record, version);
+    }
+
+    /// Takes over a job's record.
+    pub fn apply_job(&mut self, id: &str, job: &JobCharge) {
+        if self.reservations.0.jobs.contains_key(id) {
+            self.used.insert(id.to_string());
+        }
+        let known = self.open.remove(id);
+        if let Some((bucket, charge)) = &known {
+            self.remove_outstanding(bucket, *charge);
+        }
+        if known.is_none() {
+            self.note_accepted(job);
+        }
+        if !job.over {
+            self.open.insert(id.to_string(), (job.bucket.clone(), job.charge));
+            *self.outstanding.entry(job.bucket.clone()).or_default() += job.charge;
+            self.total = self.total.saturating_add(job.charge);
+        }
+    }
+
+    /// Notes that the state service has no record of a job any more.
+    pub fn drop_job(&mut self, id: &str) {
+        if let Some((bucket, charge)) = self.open.remove(id) {
+            self.remove_outstanding(&bucket, charge);
+        }
+    }
+
+    fn remove_outstanding(&mut self, bucket: &Bucket, charge: u64) {
+        self.total = self.total.saturating_sub(charge);
+        if let Some(work) = self.outstanding.get_mut(bucket) {
+            *work = work.saturating_sub(charge);
+            if *work == 0 {
+                self.outstanding.remove(bucket);
+            }
+        }
+    }
+
+    fn note_accepted(&mut self, job: &JobCharge) {
+        let at = job.accepted_at;
+        self.recent.entry(job.bucket.clone()).or_default().add(job.charge as f64, at);
+        let Some(tag) = job.tag.as_ref().filter(|tag| !tag.host.is_empty()) else { return };
+        let current = self.epochs.get(&tag.host).map_or(0, |(record, _)| record.epoch);
+        if tag.epoch >= current {
+            let spent = self.spent.entry((tag.host.clone(), tag.epoch)).or_default();
+            *spent.entry(tag.bucket.clone()).or_default() += tag.charge;
+        }
+    }
+
+    /// Notes up to which revision everything is known.
+    pub fn followed(&mut self, revision: u64) {
+        self.followed = revision;
+        self.ended.retain(|ended| ended.revision > revision);
+    }
+
+    /// The policy in force and its version.
+    pub fn policy(&self) -> Option<&(PolicyRecord, u64)> {
+        self.policy.as_ref()
+    }
+
+    /// A controller's epoch and its record's version.
+    pub fn epoch(&self, host: &str) -> Option<&(EpochRecord, u64)> {
+        self.epochs.get(host)
+    }
+
+    /// All controllers' epochs.
+    pub fn epochs(&self) -> impl Iterator<Item = (&String, &EpochRecord)> {
+        self.epochs.iter().map(|(host, (record, _))| (host, record))
+    }
+
+    /// The pages of grants and their versions.
+    pub fn pages(&self) -> &BTreeMap<u32, (GrantPage, u64)> {
+        &self.pages
+    }
+
+    /// What is kept for single jobs, and the record's version.
+    pub fn reservations(&self) -> &(ReservationsRecord, u64) {
+        &self.reservations
+    }
+
+    /// The reservation for a job that has not been accepted.
+    pub fn reservation(&self, id: &str) -> Option<&Reservation> {
+        self.reservations.0.jobs.get(id).filter(|_| !self.used.contains(id))
+    }
+
+    fn unused(&self) -> impl Iterator<Item = (&String, &Reservation)> {
+        self.reservations.0.jobs.iter().filter(|(id, _)| !self.used.contains(*id))
+    }
+
+    /// Whether a job is known and not over, or has used its reservation.
+    pub fn is_accepted(&self, id: &str) -> bool {
+        self.open.contains_key(id) || self.used.contains(id)
+    }
+
+    /// The page that has a controller's present grant, and the grant.
+    pub fn grant(&self, host: &str) -> Option<(u32, &HostGrant)> {
+        let (epoch, _) = self.epochs.get(host)?;
+        let mut pages =
+            self.pages.iter().filter_map(|(page, (record, _))| Some((*page, record.hosts.get(host)?)));
+        pages.find(|(_, grant)| grant.epoch == epoch.epoch)
+    }
+
+    /// A controller's ceilings in its present epoch.
+    pub fn ceilings(&self, host: &str) -> BTreeMap<Bucket, u64> {
+        self.grant(host).map(|(_, grant)| grant.ceilings.clone()).unwrap_or_default()
+    }
+
+    /// What a controller has spent in its present epoch, by bucket.
+    pub fn spent_by(&self, host: &str) -> BTreeMap<Bucket, u64> {
+        let epoch = self.epochs.get(host).map_or(0, |(record, _)| record.epoch);
+        self.spent.get(&(host.to_string(), epoch)).cloned().unwrap_or_default()
+    }
+
+    /// Credit that a controller may still spend, by bucket.
+    pub fn unspent(&self, host: &str) -> BTreeMap<Bucket, u64> {
+        let spent = self.spent_by(host);
+        let left =
+            |bucket: &Bucket, ceiling: u64| ceiling.saturating_sub(spent.get(bucket).copied().unwrap_or(0));
+        let all = self.ceilings(host).into_iter().map(|(bucket, ceiling)| (left(&bucket, ceiling), bucket));
+        all.filter(|(left, _)| *left > 0).map(|(left, bucket)| (bucket, left)).collect()
+    }
+
+    fn credit_of(&self, host: &str) -> u64 {
+        self.unspent(host).values().sum()
+    }
+
+    /// Work accepted lately in one bucket.
+    pub fn recent_of(&self, bucket: &Bucket, now: f64) -> f64 {
+        self.recent.get(bucket).map_or(0.0, |recent| recent.at(now))
+    }
+
+    /// All credit that may yet be spent, or may have been spent unseen.
+    pub fn credit(&self) -> u64 {
+        let hosts: u64 = self.epochs.keys().map(|host| self.credit_of(host)).sum();
+        let ended: u64 = self.ended.iter().map(|ended| ended.left).sum();
+        hosts + ended + self.reserved()
+    }
+
+    fn reserved(&self) -> u64 {
+        self.unused().map(|(_, reservation)| reservation.charge).sum()
+    }
+
+    /// How many more jobs all credit is good for.
+    pub fn credit_jobs(&self) -> u64 {
+        let of = |host: &String| {
+            let least = self.epochs.get(host).map_or(1, |(record, _)| record.least.max(1));
+            self.credit_of(host) / least
+        };
+        let least = self.epochs.values().map(|(record, _)| record.least.max(1)).min().unwrap_or(1);
+        let ended: u64 = self.ended.iter().map(|ended| ended.left / least).sum();
+        let reserved = u64::try_from(self.unused().count()).unwrap_or(u64::MAX);
+        self.epochs.keys().map(of).sum::<u64>() + ended + reserved
+    }
+
+    /// Work that is accepted and not over.
+    pub fn outstanding(&self) -> u64 {
+        self.total
+    }
+
+    /// Jobs that are accepted and not over.
+    pub fn outstanding_jobs(&self) -> u64 {
+        u64::try_from(self.open.len()).unwrap_or(u64::MAX)
+    }
+
+    /// Work that is accepted and not over, by bucket.
+    pub fn outstanding_by_bucket(&self) -> &BTreeMap<Bucket, u64> {
+        &self.outstanding
+    }
+
+    /// Work accepted lately, by bucket; `now` in seconds since 1970.
+    pub fn recent(&self, now: f64) -> BTreeMap<Bucket, f64> {
+        self.recent.iter().map(|(bucket, recent)| (bucket.clone(), recent.at(now))).collect()
+    }
+}
--- /dev/null
+++ b/crates/dapplecroft-admission/src/planner/pages.rs
@@ -0,0 +1,81 @@
+//! Grants as pages: several controllers in one record, as long as it fits a value.
+
+use super::Grants;
+use crate::ledger::Ledger;
+use crate::records::{Bucket, EpochRecord, GrantPage, HostGrant};
+use std::collections::BTreeMap;
+
+/// How many bytes a record takes at most, however what is not ASCII is written.
+fn stored_size(page: &GrantPage) -> usize {
+    let text = serde_json::to_string(page).unwrap_or_default();
+    text.chars().map(|c| if c.is_ascii() { 1 } else { 6 * c.len_utf16() }).sum()
+}
+
+/// The pages that change when credit is added; at most so many.
+pub(super) fn with_grants(
+    ledger: &Ledger,
+    epochs: &BTreeMap<String, EpochRecord>,
+    grants: &Grants,
+    max_value: usize,
+    most: usize,
+) -> BTreeMap<u32, GrantPage> {
+    let mut all: BTreeMap<u32, GrantPage> =
+        ledger.pages().iter().map(|(page, (record, _))| (*page, record.clone())).collect();
+    let mut changed = BTreeMap::new();
+    for (host, added) in grants {
+        let grant = match (epochs.get(host), ledger.epoch(host)) {
+            (Some(next), _) => HostGrant { epoch: next.epoch, ceilings: added.clone() },
+            (None, Some((epoch, _))) => raised(ledger, host, epoch.epoch, added),
+            (None, None) => continue,
+        };
+        let page = page_for(&mut all, ledger, host, grant, max_value);
+        if let Some(page) = page.filter(|page| changed.contains_key(page) || changed.len() < most) {
+            changed.insert(page, all[&page].clone());
+        }
+    }
+    changed
+}
+
+/// A controller's grant with more credit. A bucket whose credit is used up need not be
+/// named: what it has spent is known from the jobs' records.
+fn raised(ledger: &Ledger, host: &str, epoch: u64, added: &BTreeMap<Bucket, u64>) -> HostGrant {
+    let spent = ledger.spent_by(host);
+    let of = |amounts: &BTreeMap<Bucket, u64>, bucket: &Bucket| amounts.get(bucket).copied().unwrap_or(0);
+    let mut ceilings = ledger.ceilings(host);
+    ceilings.retain(|bucket, ceiling| *ceiling > of(&spent, bucket));
+    for (bucket, more) in added {
+        let known = of(&ceilings, bucket).max(of(&spent, bucket));
+        ceilings.insert(bucket.clone(), known + more);
+    }
+    HostGrant { epoch, ceilings }
+}
+
+/// Puts a grant on the page that its controller is on, or else on the first that has
+/// room; returns which. `None`: it fits on none, even alone.
+fn page_for(
+    all: &mut BTreeMap<u32, GrantPage>,
+    ledger: &Ledger,
+    host: &str,
+    grant: HostGrant,
+    max_value: usize,
+) -> Option<u32> {
+    let current = |host: &String, grant: &HostGrant| {
+        ledger.epoch(host).is_some_and(|(record, _)| record.epoch == grant.epoch)
+    };
+    let own = all.iter().find(|(_, page)| page.hosts.contains_key(host)).map(|(number, _)| *number);
+    let next = all.last_key_value().map_or(0, |(number, _)| number + 1);
+    let candidates: Vec<u32> = match own {
+        Some(own) => vec![own],
+        None => all.keys().copied().chain([next]).collect(),
+    };
+    for number in candidates {
+        let mut page = all.get(&number).cloned().unwrap_or_default();
+        page.hosts.retain(|other, grant| other == host || current(other, grant));
+        page.hosts.insert(host.to_string(), grant.clone());
+        if stored_size(&page) <= max_value {
+            all.insert(number, page);
+            return Some(number);
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/dapplecroft-admission/tests/settings.rs
@@ -0,0 +1,58 @@
+//! Settings that can't be are refused by a line that names the value.
+
+use dapplecroft_admission::settings::{Platform, PlatformTeam, RawClass, RawTeam};
+use dapplecroft_admission::{RawAdmission, SettingsError};
+
+fn platform() -> Platform {
+    let team = |name: &str, cpus| PlatformTeam { name: name.into(), guaranteed_cpus: cpus };
+    Platform { teams: vec![team("a", 100.0), team("b", 300.0)], classes: ["night".to_string()].into() }
+}
+
+fn team(name: &str, weight: f64) -> RawTeam {
+    RawTeam { name: name.into(), weight: Some(weight), ..RawTeam::default() }
+}
+
+fn error_of(raw: RawAdmission) -> String {
+    raw.resolve(&platform()).map_or_else(|error| error.to_string(), |_| String::from("accepted"))
+}
+
+#[test]
+fn defaults_follow_from_the_platform() {
+    let admission = RawAdmission::default().resolve(&platform()).unwrap();
+    assert_eq!(admission.limit(0.0), 400 * 300);
+    assert_eq!(admission.limit(1000.0), 1000 * 300);
+    assert_eq!(admission.teams["b"].weight, 300.0);
+    assert!(admission.largest(admission.limit(0.0)) <= admission.limit(0.0));
+}
+
+#[test]
+fn bad_values_are_named() {
+    let with = |teams: Vec<RawTeam>| RawAdmission { teams, ..RawAdmission::default() };
+    for weight in [0.0, -1.0, f64::INFINITY, f64::NAN] {
+        let said = error_of(with(vec![team("a", weight)]));
+        assert!(said.contains("weight") && said.contains("positive"), "{said}");
+    }
+    assert!(error_of(with(vec![team("a", 1.0), team("a", 2.0)])).contains("\"a\" is named twice"));
+    assert!(error_of(with(vec![team("c", 1.0)])).contains("no team \"c\""));
+    let class = |name: &str, weight| RawClass { name: name.into(), weight };
+    let classes = |classes| with(vec![RawTeam { classes, ..team("a", 1.0) }]);
+    assert!(error_of(classes(vec![class("noon", 1.0)])).contains("\"noon\""));
+    assert!(error_of(classes(vec![class("night", 0.0)])).contains("weight"));
+    assert!(error_of(classes(vec![class("night", 1.0), class("night", 1.0)])).contains("named twice"));
+    let floor = |name: &str| RawTeam { floor: Some(0.6), ..team(name, 1.0) };
+    assert!(error_of(with(vec![floor("a"), floor("b")])).contains("1.2"));
+}
+
+#[test]
+fn a_limit_takes_a_guarantee_and_the_largest_job() {
+    let limit = |limit| RawAdmission { limit_cpu_s: Some(limit), ..RawAdmission::default() };
+    assert!(error_of(limit(200)).contains("guarantee of b"));
+    let largest = RawAdmission { largest_job_cpu_s: Some(5000), ..limit(1000) };
+    assert_eq!(largest.resolve(&platform()), Err(SettingsError::LargestJob { largest: 5000, limit: 1000 }));
+    let both = RawAdmission { work_off_s: Some(60.0), ..limit(1000) };
+    assert_eq!(both.resolve(&platform()), Err(SettingsError::TwoLimits));
+    assert!(error_of(limit(0)).contains("limit_cpu_s"));
+    let empty =
+        Platform { teams: vec![PlatformTeam { name: "a".into(), guaranteed_cpus: 0.0 }], ..platform() };
+    assert_eq!(RawAdmission::default().resolve(&empty), Err(SettingsError::NoCapacity));
+}
--- a/crates/dapplecroft-controller/src/core/copy.rs
+++ b/crates/dapplecroft-controller/src/core/copy.rs
@@ -57,6 +57,7 @@
         self.followed = self.followed.max(revision);
         let followed = self.followed;
         self.dropped.retain(|_, at| *at > followed);
+        self.note_followed(followed);
         while let Some(&(sent, at)) = self.role.pending.front() {
             if at > followed {
                 break;
@@ -134,6 +135,9 @@
                 }
             }
             Some(parsed @ (Key::Refusal(..) | Key::Watermark(_))) => self.apply_transfer(key, parsed, value),
+            Some(
+                parsed @ (Key::AdmissionPolicy | Key::AdmissionEpoch(_) | Key::Grants(_) | Key::Reservations),
+            ) => self.apply_credit_record(key, parsed, value, version),
             Some(Key::Job(id)) => self.apply_job_value(key, id, value, version, now),
             Some(Key::CompletedTasks(id, part)) => {
                 let record = self.read::<CompletedTasksRecord>(key, value);
@@ -333,6 +337,7 @@
         self.forget_job(&id);
         self.jobs.remove(&id);
         self.federation.visits.remove(&id);
+        self.note_dropped_job(&id);
     }
 
     fn apply_job(&mut self, id: &str, record: JobRecord, version: u64, now: Instant) {
@@ -341,6 +346,7 @@
             Some(origin) => self.federation.visits.insert(id.clone(), origin.clone()),
             None => self.federation.visits.remove(&id),
         };
+        self.note_job_charge(&id, &record);
         if record.spec.is_none() {
             // Final for good: everything about it can be forgotten but this.
             self.forget_job(&id);
@@ -466,7 +472,7 @@
         self.waiting.remove(id);
     }
 
-    fn read<T: DeserializeOwned>(&mut self, key: &str, value: Option<Value>) -> Option<T> {
+    pub(super) fn read<T: DeserializeOwned>(&mut self, key: &str, value: Option<Value>) -> Option<T> {
         self.readable(key, serde_json::from_value(value?))
     }
 
--- a/crates/dapplecroft-controller/src/core/federation.rs
+++ b/crates/dapplecroft-controller/src/core/federation.rs
@@ -77,12 +77,12 @@
         self.federation.visits.contains_key(id)
     }
 
-    fn leader_condition(&self) -> Option<Condition> {
+    pub(in crate::core) fn leader_condition(&self) -> Option<Condition> {
         let version = self.role.leadership?;
         Some(Condition { key: records::LEADER.into(), version })
     }
 
-    fn unchanged(&self, key: String) -> Condition {
+    pub(in crate::core) fn unchanged(&self, key: String) -> Condition {
         let version = self.version(&key);
         Condition { key, version }
     }
--- a/crates/dapplecroft-controller/src/core/federation/visitor.rs
+++ b/crates/dapplecroft-controller/src/core/federation/visitor.rs
@@ -134,6 +134,7 @@
             spec: Some(spec),
             away: None,
             origin: Some(Origin { cell: request.from.clone(), epoch: request.epoch }),
+            credit: None,
         };
         let value = self.job_value(&record);
         if !fits_value(&value, self.limits().value) {
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -9,6 +9,7 @@
 mod commit_priority;
 mod commit_queue;
 mod copy;
+mod credit;
 mod displace;
 mod drain;
 mod federation;
@@ -31,6 +32,7 @@
 pub use blocks::{BlockLease, LeaseGrant};
 pub use capacity_usage::CapacityUsage;
 pub use commit::{Subject, UnitEnd, WorkUnit};
+pub use credit::{Ruling, SubmissionPlan};
 pub use federation::{AwayRequest, NotAway, OfferUnit, VisitPlan, VisitRequest};
 pub use fleet::{FleetActions, MAX_CONSULTED};
 pub use groups::GroupUnit;
@@ -245,6 +247,10 @@
     displaced: Option<Instant>,
     /// What is known of hand-overs to and from other cells.
     pub(crate) federation: federation::FederationState,
+    /// What is known of admission control, where it is on.
+    credit: Option<credit::CreditState>,
+    /// Whether the policy of admission control demands credit.
+    admission_in_force: bool,
     /// The time of day at the last round, in seconds since 1970.
     wall: f64,
 }
@@ -255,6 +261,7 @@
         let teams = Teams::new(settings.params.teams.iter().map(|t| {
             (t.name.clone(), Amounts::new(t.cpus, t.gpus, 0.0), Amounts::new(t.cpus_max, t.gpus_max, 0.0))
         }));
+        let credit = credit::CreditState::for_settings(&settings, &options, &identity);
         Core {
             settings,
             options,
@@ -302,6 +309,8 @@
             draining: drain::DrainState::default(),
             displaced: None,
             federation: federation::FederationState::default(),
+            credit,
+            admission_in_force: false,
             wall: 0.0,
         }
     }
--- a/crates/dapplecroft-controller/src/core/roles.rs
+++ b/crates/dapplecroft-controller/src/core/roles.rs
@@ -73,6 +73,7 @@
         let ready = self.role.leadership.is_some_and(|l| l <= self.followed);
         if ready && !self.fleet.ready() {
             self.fleet.begin(now);
+            self.begin_granting();
             let open: Vec<Arc<str>> = self.open.iter().cloned().collect();
             for id in open {
                 self.finish_if_over(&id);
--- a/crates/dapplecroft-controller/src/legacy.rs
+++ b/crates/dapplecroft-controller/src/legacy.rs
@@ -97,6 +97,7 @@
         spec: old.spec,
         away: None,
         origin: None,
+        credit: None,
     })
 }
 
--- a/crates/dapplecroft-controller/src/lib.rs
+++ b/crates/dapplecroft-controller/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! [`Transport`]: dapplecroft_net::Transport
 
+mod admission;
 pub mod cells;
 pub mod core;
 pub mod jobs;
@@ -19,6 +20,7 @@
 pub mod records;
 mod users;
 
+pub use admission::resolve_admission;
 pub use cells::{Cells, ExchangeError, NoCells};
 pub use node::{Node, Parts, Reply};
 pub use options::Options;
--- a/crates/dapplecroft-controller/src/loops.rs
+++ b/crates/dapplecroft-controller/src/loops.rs
@@ -1,6 +1,7 @@
 //! The loops of a controller: each works out the difference between what is
 //! wanted and what is, and carries it out.
 
+mod admission;
 mod election;
 mod federation;
 mod fleet;
@@ -28,6 +29,9 @@
         loops.spawn(self.clone().health_loop());
         loops.spawn(self.clone().summary_loop());
         loops.spawn(self.clone().room_loop());
+        if self.options.admission.is_some() {
+            loops.spawn(self.clone().admission_loop());
+        }
         self.spawn_federation_loops(&mut loops);
         let node = self.clone();
         loops.spawn(async move { node.committer.run(node.state.clone()).await });
--- a/crates/dapplecroft-controller/src/loops/election.rs
+++ b/crates/dapplecroft-controller/src/loops/election.rs
@@ -109,7 +109,8 @@
     /// Writes this process's entry on its lease.
     async fn announce(&self, lease: u64) -> bool {
         let identity = self.with(|core| core.identity.clone());
-        let record = LiveRecord { identity, lease, layout: records::LAYOUT };
+        let admission = self.options.admission.is_some();
+        let record = LiveRecord { identity, lease, layout: records::LAYOUT, admission };
         let key = records::live_key(&self.settings.host_name);
         let change = Change::Set { key, value: value(&record), lease: Some(lease) };
         let transaction = Transaction { conditions: Vec::new(), changes: vec![change] };
--- a/crates/dapplecroft-controller/src/node.rs
+++ b/crates/dapplecroft-controller/src/node.rs
@@ -13,6 +13,8 @@
 use dapplecroft_wire::users::Problem;
 use dapplecroft_wire::workers::{Redirect, Report, ReportHead};
 use http::Method;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use serde::Serialize;
 use std::collections::BTreeSet;
 use std::future::Future;
@@ -108,6 +110,7 @@
     pub(crate) wake_heartbeat: Notify,
     pub(crate) wake_fleet: Notify,
     pub(crate) wake_federation: Notify,
+    pub(crate) wake_admission: Notify,
     pub(crate) wake_end: Notify,
     pub(crate) to_command: Mutex<BTreeSet<Arc<str>>>,
     pub(crate) requests: AtomicUsize,
@@ -129,6 +132,12 @@
     pub(crate) exchanging: AtomicUsize,
     /// When the state service last answered this node's lease renewal.
     pub(crate) touched: Mutex<Option<Instant>>,
+    /// Since when the copy of the records is known to show all that was committed.
+    pub(crate) caught_up_since: tokio::sync::Mutex<Option<Instant>>,
+    /// How many refusals wait for that.
+    pub(crate) catching_up: Mutex<usize>,
+    /// What little chance there is in answers to users.
+    pub(crate) random: Mutex<StdRng>,
 }
 
 /// The steady clock; tests stop and move it.
@@ -180,6 +189,7 @@
             wake_heartbeat: Notify::new(),
             wake_fleet: Notify::new(),
             wake_federation: Notify::new(),
+            wake_admission: Notify::new(),
             wake_end: Notify::new(),
             to_command: Mutex::default(),
             requests: AtomicUsize::new(0),
@@ -192,6 +202,9 @@
             summaries: Mutex::default(),
             exchanging: AtomicUsize::new(0),
             touched: Mutex::default(),
+            caught_up_since: tokio::sync::Mutex::default(),
+            catching_up: Mutex::default(),
+            random: Mutex::new(StdRng::seed_from_u64(parts.seed)),
         })
     }
 
@@ -216,6 +229,7 @@
         }
         if wakeups.role {
             self.wake_role.notify_one();
+            self.wake_admission.notify_one();
         }
         if wakeups.fleet {
             self.wake_fleet.notify_one();
@@ -274,7 +288,8 @@
     /// but in an outage that all share it stays in service: coming back costs
     /// users longer than the refusals that they get meanwhile.
     fn up(&self) -> Reply {
-        let ready = self.with(|core| core.loaded) || self.shared_outage.load(Ordering::Relaxed);
+        let ready =
+            self.with(|core| core.loaded && core.has_credit()) || self.shared_outage.load(Ordering::Relaxed);
         if ready { Reply::json(200, &serde_json::json!({"up": true})) } else { Reply::busy("not ready", 1) }
     }
 
--- a/crates/dapplecroft-controller/src/options.rs
+++ b/crates/dapplecroft-controller/src/options.rs
@@ -1,5 +1,6 @@
 //! Operators' own settings with their defaults.
 
+use dapplecroft_admission::RawAdmission;
 use dapplecroft_federation::Federation;
 use std::time::Duration;
 
@@ -36,6 +37,8 @@
     pub max_requests: usize,
     /// The federation of cells that this one belongs to, if any.
     pub federation: Option<Federation>,
+    /// Admission control; unset: every submission that can run is accepted.
+    pub admission: Option<RawAdmission>,
 }
 
 impl Default for Options {
@@ -54,6 +57,7 @@
             standby_machines: 6,
             max_requests: 256,
             federation: None,
+            admission: None,
         }
     }
 }
--- a/crates/dapplecroft-controller/src/peers.rs
+++ b/crates/dapplecroft-controller/src/peers.rs
@@ -6,8 +6,8 @@
 use dapplecroft_net::Request;
 use dapplecroft_wire::peer::peer_server::Peer as PeerProtocol;
 use dapplecroft_wire::peer::{
-    CellsReply, CellsRequest, ForwardReply, ForwardRequest, ProbeReply, ProbeRequest, RoomReply, RoomRequest,
-    SightReply, SightRequest,
+    AdmissionReply, AdmissionRequest, CellsReply, CellsRequest, DemandReply, DemandRequest, ForwardReply,
+    ForwardRequest, ProbeReply, ProbeRequest, RoomReply, RoomRequest, SightReply, SightRequest,
 };
 use dapplecroft_wire::settings::Peer;
 use std::sync::Arc;
@@ -37,6 +37,8 @@
     async fn room(&self, peer: &Peer) -> Option<RoomReply>;
     /// Has a user's request answered by the peer.
     async fn forward(&self, peer: &Peer, request: ForwardRequest) -> Option<Reply>;
+    /// What the peer refused lately for want of credit.
+    async fn demand(&self, peer: &Peer) -> Option<DemandReply>;
 }
 
 /// Nobody to ask.
@@ -57,6 +59,9 @@
     async fn forward(&self, _: &Peer, _: ForwardRequest) -> Option<Reply> {
         None
     }
+    async fn demand(&self, _: &Peer) -> Option<DemandReply> {
+        None
+    }
 }
 
 /// Answers what other controllers ask.
@@ -82,6 +87,11 @@
         RoomReply { spare_changes: self.0.lend(), ..room }
     }
 
+    /// What this node refused lately for want of credit.
+    pub fn own_demand(&self) -> DemandReply {
+        self.0.with(|core| core.own_demand(now()))
+    }
+
     /// Answers another node's user, from what this node knows and reaches.
     pub async fn own_forward(&self, request: ForwardRequest) -> Option<Reply> {
         let method = http::Method::from_bytes(request.method.as_bytes()).ok()?;
@@ -108,6 +118,20 @@
         Ok(tonic::Response::new(self.own_sight()))
     }
 
+    async fn demand(
+        &self,
+        _: tonic::Request<DemandRequest>,
+    ) -> Result<tonic::Response<DemandReply>, tonic::Status> {
+        Ok(tonic::Response::new(self.own_demand()))
+    }
+
+    async fn admission(
+        &self,
+        _: tonic::Request<AdmissionRequest>,
+    ) -> Result<tonic::Response<AdmissionReply>, tonic::Status> {
+        Ok(tonic::Response::new(self.0.admission_status().await))
+    }
+
     async fn cells(
         &self,
         _: tonic::Request<CellsRequest>,
--- a/crates/dapplecroft-controller/src/records.rs
+++ b/crates/dapplecroft-controller/src/records.rs
@@ -4,6 +4,7 @@
 //! which alone knows how it was written; all other code knows only these types.
 
 use crate::ranges::Ranges;
+use dapplecroft_admission::CreditTag;
 use dapplecroft_federation::{AwayRecord, Origin};
 use dapplecroft_wire::users::JobSpec;
 use serde::{Deserialize, Serialize};
@@ -27,6 +28,21 @@
 /// The machine types, as the first version wrote them.
 pub const CATALOG: &str = "dc/catalog";
 
+/// The policy of admission control.
+pub const ADMISSION_POLICY: &str = "dc/a/p";
+/// Credit that is kept for single jobs.
+pub const RESERVATIONS: &str = "dc/a/s";
+
+/// The key of a controller's epoch in admission control.
+pub fn epoch_key(host: &str) -> String {
+    format!("dc/a/e/{host}")
+}
+
+/// The key of a page of grants.
+pub fn grants_key(page: u32) -> String {
+    format!("dc/a/g/{page}")
+}
+
 /// A part of the machine types.
 pub fn catalog_key(part: u32) -> String {
     format!("dc/c/{part}")
@@ -135,6 +151,14 @@
     Refusal(&'a str, u64, &'a str),
     /// What another cell has finished of its transfers.
     Watermark(&'a str),
+    /// The policy of admission control.
+    AdmissionPolicy,
+    /// A controller's epoch in admission control.
+    AdmissionEpoch(&'a str),
+    /// A page of grants.
+    Grants(u32),
+    /// Credit that is kept for single jobs.
+    Reservations,
 }
 
 impl<'a> Key<'a> {
@@ -145,6 +169,7 @@
             "catalog" => Key::Catalog(None),
             "format" => Key::Format,
             rest => match rest.split_once('/')? {
+                ("a", rest) => Key::parse_admission(rest)?,
                 ("j", id) => Key::Job(id),
                 ("m", name) => Key::Group(name),
                 ("b", block) => Key::Block(block.parse().ok()?),
@@ -167,6 +192,16 @@
         })
     }
 
+    fn parse_admission(rest: &'a str) -> Option<Key<'a>> {
+        match (rest, rest.split_once('/')) {
+            ("p", _) => Some(Key::AdmissionPolicy),
+            ("s", _) => Some(Key::Reservations),
+            (_, Some(("e", host))) => Some(Key::AdmissionEpoch(host)),
+            (_, Some(("g", page))) => Some(Key::Grants(page.parse().ok()?)),
+            _ => None,
+        }
+    }
+
     fn parse_transfer(rest: &'a str) -> Option<Key<'a>> {
         let (kind, rest) = rest.split_once('/')?;
         match kind {
@@ -240,6 +275,9 @@
     /// Where it comes from, if another cell answers for it.
     #[serde(rename = "or", default, skip_serializing_if = "Option::is_none")]
     pub origin: Option<Origin>,
+    /// What it was charged by admission control, and to which grant; kept for ever.
+    #[serde(rename = "cr", default, skip_serializing_if = "Option::is_none")]
+    pub credit: Option<CreditTag>,
 }
 
 impl JobRecord {
@@ -255,6 +293,7 @@
             spec: None,
             away: None,
             origin: self.origin.clone(),
+            credit: self.credit.clone(),
         }
     }
 }
@@ -286,6 +325,13 @@
     /// The newest layout that it knows; the first version does not say.
     #[serde(default = "first_layout")]
     pub layout: u32,
+    /// Whether it takes part in admission control.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub admission: bool,
+}
+
+fn is_false(flag: &bool) -> bool {
+    !flag
 }
 
 fn first_layout() -> u32 {
--- a/crates/dapplecroft-controller/src/users.rs
+++ b/crates/dapplecroft-controller/src/users.rs
@@ -1,9 +1,11 @@
 //! The users' interface.
 
+use crate::core::{Ruling, SubmissionPlan};
 use crate::jobs::Job;
 use crate::node::{Answered, Node, Question, Reply, lock, now};
 use crate::records::{self, JobRecord, JobStage, stored_size};
 use bytes::Bytes;
+use dapplecroft_admission::{Settlement, Spending};
 use dapplecroft_sched::Amounts;
 use dapplecroft_state::{Unit, UnitResult};
 use dapplecroft_wire::MAX_BODY;
@@ -11,6 +13,7 @@
 use dapplecroft_wire::state::{Change, Condition};
 use dapplecroft_wire::users::{JobSpec, JobStatus, Stage, valid_id};
 use http::Method;
+use rand::RngExt;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -27,6 +30,9 @@
 /// Seconds after which to ask again about a job that another cell answers for.
 const OTHER_CELL_RETRY: u32 = 5;
 
+/// How often a submission is looked at again when what it was bound to has changed.
+const MAX_RULINGS: usize = 3;
+
 /// Questions waiting for the state service beyond which reads are refused.
 const MAX_QUESTIONS: usize = 1000;
 
@@ -155,36 +161,93 @@
             // A controller of the first version would take it for something else.
             return Reply::busy("services are not taken before all controllers know them", 5);
         }
-        let key = records::job_key(&id);
-        let at = self.wall_seconds();
-        let record = JobRecord {
+        self.accept(spec).await
+    }
+
+    /// Commits that a job is accepted, as far as admission control lets it.
+    async fn accept(self: &Arc<Self>, spec: JobSpec) -> Reply {
+        let id = spec.id.clone();
+        let mut record = JobRecord {
             stage: JobStage::Open,
             tasks: spec.tasks,
             allocated: Default::default(),
             legacy_done: Default::default(),
             done: None,
-            at,
-            spec: Some(spec),
+            at: self.wall_seconds(),
+            spec: Some(spec.clone()),
             away: None,
             origin: None,
+            credit: None,
         };
         let value = self.with(|core| core.job_value(&record));
         if stored_size(&value) + NOTES > self.settings.params.state.lasting().value {
             return self.unless_known(&id, 400, "too long to be stored").await;
         }
-        let unit = Unit {
-            conditions: vec![Condition { key: key.clone(), version: 0 }],
-            changes: vec![Change::Set { key, value, lease: None }],
-        };
-        match self.committer.commit_first(unit.clone()).await {
-            UnitResult::Committed(revision) => {
-                self.with(|core| core.apply_changes(&unit.changes, revision, now()));
-                let status = JobStatus { id, stage: Stage::Queued, done: None, running: None };
-                Reply::json(201, &status)
+        // A conflict about credit means that the leader has granted or taken back some.
+        for _ in 0..MAX_RULINGS {
+            let plan = match self.rule(&spec) {
+                Ruling::Admitted(plan) => plan,
+                Ruling::Refused(pause) => return self.refused(&id, pause).await,
+            };
+            record.credit.clone_from(&plan.tag);
+            match self.commit_submission(&id, &record, plan).await {
+                UnitResult::Committed(_) => {
+                    let status = JobStatus { id, stage: Stage::Queued, done: None, running: None };
+                    return Reply::json(201, &status);
+                }
+                UnitResult::Conflict(keys) if keys.contains(&records::job_key(&id)) => {
+                    return self.repeated(&id).await;
+                }
+                UnitResult::Conflict(keys) => {
+                    for key in keys {
+                        self.refresh(&key, || true).await;
+                    }
+                }
+                UnitResult::Refused(_) | UnitResult::Unknown(_) => return Reply::busy("not stored", 1),
             }
-            UnitResult::Conflict(_) => self.repeated(&id).await,
-            UnitResult::Refused(_) | UnitResult::Unknown(_) => Reply::busy("not stored", 1),
         }
+        Reply::busy("credit changes too quickly", 1)
+    }
+
+    fn rule(&self, spec: &JobSpec) -> Ruling {
+        let random = lock(&self.random).random();
+        let wall = self.wall_seconds();
+        self.with(|core| core.rule(spec, random, wall, now()))
+    }
+
+    async fn commit_submission(
+        self: &Arc<Self>,
+        id: &str,
+        record: &JobRecord,
+        plan: SubmissionPlan,
+    ) -> UnitResult {
+        let key = records::job_key(id);
+        let value = self.with(|core| core.job_value(record));
+        let mut conditions = vec![Condition { key: key.clone(), version: 0 }];
+        conditions.extend(plan.conditions);
+        let unit = Unit { conditions, changes: vec![Change::Set { key, value, lease: None }] };
+        let spending = plan.spending.map(|spending| OpenSpending::new(self, id, spending));
+        let result = self.committer.commit_first(unit.clone()).await;
+        if let UnitResult::Committed(revision) = &result {
+            self.with(|core| core.apply_changes(&unit.changes, *revision, now()));
+        }
+        if let Some(spending) = spending {
+            spending.settle(&result);
+        }
+        result
+    }
+
+    /// Turns a submission away until there is credit; one that was accepted before gets
+    /// its status, whatever the load.
+    async fn refused(self: &Arc<Self>, id: &str, pause: Duration) -> Reply {
+        if !self.catch_up().await {
+            return Reply::busy("overloaded", seconds(pause));
+        }
+        if self.with(|core| core.jobs.contains_key(id)) {
+            return self.repeated(id).await;
+        }
+        let reply = Reply::problem(429, "more is asked for than can be done: come back later");
+        Reply { retry_after: Some(seconds(pause)), ..reply }
     }
 
     /// Refuses a submission for good, unless it was accepted before the settings
@@ -276,6 +339,39 @@
     }
 }
 
+fn seconds(pause: Duration) -> u32 {
+    u32::try_from(pause.as_secs()).unwrap_or(u32::MAX).max(1)
+}
+
+/// Credit that a submission has set aside. If nobody waits for its outcome any more, that
+/// is unknown.
+struct OpenSpending<'a> {
+    node: &'a Node,
+    id: String,
+    spending: Spending,
+    settlement: Settlement,
+}
+
+impl<'a> OpenSpending<'a> {
+    fn new(node: &'a Node, id: &str, spending: Spending) -> Self {
+        OpenSpending { node, id: id.to_string(), spending, settlement: Settlement::Unknown }
+    }
+
+    fn settle(mut self, result: &UnitResult) {
+        self.settlement = match result {
+            UnitResult::Committed(_) => Settlement::Committed,
+            UnitResult::Conflict(_) | UnitResult::Refused(_) => Settlement::NotMade,
+            UnitResult::Unknown(_) => Settlement::Unknown,
+        };
+    }
+}
+
+impl Drop for OpenSpending<'_> {
+    fn drop(&mut self) {
+        self.node.with(|core| core.settle_spending(&self.id, &self.spending, self.settlement));
+    }
+}
+
 /// A job that is here for another cell: only that one tells its user how it stands.
 fn other_cell() -> Reply {
     Reply::busy("another cell answers for this job", OTHER_CELL_RETRY)
--- a/crates/dapplecroft-controller/tests/stories/cluster.rs
+++ b/crates/dapplecroft-controller/tests/stories/cluster.rs
@@ -4,7 +4,7 @@
 use dapplecroft_controller::{Cells, NoCells, Node, Options, Parts, PeerService, Peers, Reply};
 use dapplecroft_fakes::{Action, FakeCloud, FakeState, Handler, Net, Referee, Rule, Told, WorkerTiming};
 use dapplecroft_net::Response;
-use dapplecroft_wire::peer::{ForwardRequest, RoomReply, SightReply};
+use dapplecroft_wire::peer::{DemandReply, ForwardRequest, RoomReply, SightReply};
 use dapplecroft_wire::settings::{Peer, Settings};
 use http::Method;
 use serde_json::{Value, json};
@@ -65,6 +65,9 @@
     async fn forward(&self, peer: &Peer, request: ForwardRequest) -> Option<Reply> {
         self.reach(peer)?.own_forward(request).await
     }
+    async fn demand(&self, peer: &Peer) -> Option<DemandReply> {
+        Some(self.reach(peer)?.own_demand())
+    }
 }
 
 pub struct Cluster {
--- a/crates/dapplecroft/src/grpc.rs
+++ b/crates/dapplecroft/src/grpc.rs
@@ -4,7 +4,8 @@
 use dapplecroft_wire::peer::peer_client::PeerClient;
 use dapplecroft_wire::peer::peer_server::PeerServer;
 use dapplecroft_wire::peer::{
-    ForwardRequest, ProbeRequest, RoomReply, RoomRequest, SightReply, SightRequest,
+    DemandReply, DemandRequest, ForwardRequest, ProbeRequest, RoomReply, RoomRequest, SightReply,
+    SightRequest,
 };
 use dapplecroft_wire::settings::Peer;
 use std::collections::HashMap;
@@ -63,6 +64,12 @@
         let status = u16::try_from(reply.status).ok()?;
         Some(Reply { status, body: reply.body, retry_after: reply.retry_after })
     }
+
+    async fn demand(&self, peer: &Peer) -> Option<DemandReply> {
+        let mut client = self.client(peer)?;
+        let reply = tokio::time::timeout(SIGHT_TIMEOUT, client.demand(DemandRequest {})).await.ok()?.ok()?;
+        Some(reply.into_inner())
+    }
 }
 
 /// Serves the other controllers until the process ends.
