Admission control: settings, a command, a file that switches it on

Need: operators switch it on, and see how it stands. Change: admission message in the operators' settings, checked by garde and against the platform at start; dapplecroft admission ADDRESS; deploy/admission.textproto; dapplecroft check prints the settings in force in text format, which it accepts again; fields of messages and connections of commands are read in one place.

--- a/crates/dapplecroft/src/cells_command.rs
+++ b/crates/dapplecroft/src/cells_command.rs
@@ -1,24 +1,16 @@
 //! `dapplecroft cells`: how things stand between cells, for operators.
 
-use dapplecroft_wire::peer::peer_client::PeerClient;
+use crate::peer_client::{self, PeerError};
 use dapplecroft_wire::peer::{CellsReply, CellsRequest};
 use std::fmt::Write;
 use std::net::SocketAddr;
-use std::time::Duration;
-use tonic::transport::Endpoint;
-
-/// How long the controller has to answer.
-const TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Why nothing can be said.
 #[derive(Debug, thiserror::Error)]
 pub enum CellsError {
-    /// The controller can't be reached.
-    #[error("{0} can't be reached: {1}")]
-    Unreachable(SocketAddr, tonic::transport::Error),
-    /// The controller does not answer, or is of a version that knows no cells.
-    #[error("{0} does not answer: {1}")]
-    NoAnswer(SocketAddr, Box<tonic::Status>),
+    /// There is no answer.
+    #[error(transparent)]
+    Peer(#[from] PeerError),
     /// The controller's cell stands alone.
     #[error("{0} belongs to no federation")]
     NoFederation(SocketAddr),
@@ -26,11 +18,9 @@
 
 /// Asks a controller.
 pub async fn ask(controller: SocketAddr) -> Result<CellsReply, CellsError> {
-    let unreachable = |error| CellsError::Unreachable(controller, error);
-    let endpoint = Endpoint::from_shared(format!("http://{controller}")).map_err(unreachable)?;
-    let channel = endpoint.connect_timeout(TIMEOUT).timeout(TIMEOUT).connect().await.map_err(unreachable)?;
-    let reply = PeerClient::new(channel).cells(CellsRequest {}).await;
-    let reply = reply.map_err(|status| CellsError::NoAnswer(controller, Box::new(status)))?.into_inner();
+    let mut client = peer_client::connect(controller).await?;
+    let reply = client.cells(CellsRequest {}).await;
+    let reply = reply.map_err(|status| PeerError::no_answer(controller, status))?.into_inner();
     if reply.cell.is_empty() { Err(CellsError::NoFederation(controller)) } else { Ok(reply) }
 }
 
--- a/crates/dapplecroft/src/main.rs
+++ b/crates/dapplecroft/src/main.rs
@@ -1,14 +1,16 @@
 //! The controller program.
 
+mod admission_command;
 mod cells;
 mod cells_command;
 mod front;
 mod grpc;
 mod http;
 mod options;
+mod peer_client;
 
 use clap::{Parser, Subcommand};
-use dapplecroft_controller::{Node, Options, Parts, PeerService};
+use dapplecroft_controller::{Node, Options, Parts, PeerService, resolve_admission};
 use dapplecroft_net::{Sockets, TcpTransport};
 use dapplecroft_wire::settings::Settings;
 use rand::RngExt;
@@ -49,6 +51,12 @@
         #[arg(long)]
         away: bool,
     },
+    /// Say how admission control stands, as a controller knows it.
+    Admission {
+        /// Address of one of this cell's controllers for the others (`back`). Its leader
+        /// knows most.
+        controller: SocketAddr,
+    },
     /// Check a file of operators' settings and say what would be in force.
     Check {
         /// The file (protobuf text format).
@@ -77,6 +85,10 @@
     Grpc(#[from] tonic::transport::Error),
     #[error("{0}")]
     Cells(#[from] cells_command::CellsError),
+    #[error("{0}")]
+    Admission(#[from] admission_command::AdmissionError),
+    #[error("{0}: {1}")]
+    AdmissionSettings(String, dapplecroft_admission::SettingsError),
     #[error("a part of the controller ended")]
     Ended,
     #[error("{0}")]
@@ -90,7 +102,8 @@
     let result = match arguments.command {
         Command::Run { options, config } => run(options.as_deref(), &config),
         Command::Cells { controller, away } => show_cells(controller, away),
-        Command::Check { file } => load_options(&file).map(|options| println!("{options:#?}")),
+        Command::Admission { controller } => show_admission(controller),
+        Command::Check { file } => check(&file),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -112,11 +125,26 @@
 fn run(options: Option<&Path>, config: &Path) -> Result<(), Failure> {
     let settings =
         Settings::parse(&read(config)?).map_err(|e| Failure::Settings(config.display().to_string(), e))?;
+    let file = options.map_or_else(String::new, |path| path.display().to_string());
     let options = options.map(load_options).transpose()?.unwrap_or_default();
+    resolve_admission(&settings, &options).map_err(|error| Failure::AdmissionSettings(file, error))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().event_interval(STEPS).build()?;
     runtime.block_on(serve(settings, options))
 }
 
+fn check(path: &Path) -> Result<(), Failure> {
+    let text = options::in_force(&read(path)?);
+    println!("{}", text.map_err(|e| Failure::Options(path.display().to_string(), e))?);
+    Ok(())
+}
+
+fn show_admission(controller: SocketAddr) -> Result<(), Failure> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let reply = runtime.block_on(admission_command::ask(controller))?;
+    print!("{}", admission_command::summary_lines(&reply));
+    Ok(())
+}
+
 fn show_cells(controller: SocketAddr, away: bool) -> Result<(), Failure> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let reply = runtime.block_on(cells_command::ask(controller))?;
--- a/crates/dapplecroft/src/options.rs
+++ b/crates/dapplecroft/src/options.rs
@@ -1,10 +1,14 @@
 //! Operators' own settings, in protobuf text format.
 
+mod admission;
 mod federation;
+mod message;
 
+use dapplecroft_admission::SettingsError as AdmissionError;
 use dapplecroft_controller::Options;
 use dapplecroft_federation::SettingsError;
-use prost_reflect::{DescriptorPool, DynamicMessage, Value};
+use prost_reflect::text_format::FormatOptions;
+use prost_reflect::{DescriptorPool, DynamicMessage, MessageDescriptor, Value};
 use std::time::Duration;
 
 /// Why a file of operators' settings is not accepted.
@@ -16,6 +20,9 @@
     /// The federation can't be as it is set.
     #[error(transparent)]
     Federation(#[from] SettingsError),
+    /// Admission control can't be as it is set.
+    #[error(transparent)]
+    Admission(#[from] AdmissionError),
     /// A value lies outside what its field allows.
     #[error("{field}: must be from {least} to {most}, is {value}")]
     Range {
@@ -35,29 +42,42 @@
 
 const DESCRIPTORS: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/options.bin"));
 
+fn description() -> Result<MessageDescriptor, OptionsError> {
+    let pool = DescriptorPool::decode(DESCRIPTORS).map_err(|e| OptionsError::Text(e.to_string()))?;
+    pool.get_message_by_name("dapplecroft.options.v1.Options")
+        .ok_or_else(|| OptionsError::Text("no description of the settings".into()))
+}
+
+fn read_message(text: &str) -> Result<DynamicMessage, OptionsError> {
+    DynamicMessage::parse_text_format(description()?, text).map_err(|e| OptionsError::Text(e.to_string()))
+}
+
+/// A number within its bounds, if it is set.
+fn bounded(
+    message: &DynamicMessage,
+    field: &'static str,
+    least: f64,
+    most: f64,
+) -> Result<Option<f64>, OptionsError> {
+    if !message.has_field_by_name(field) {
+        return Ok(None);
+    }
+    let value = match message.get_field_by_name(field).as_deref() {
+        Some(Value::F64(value)) => *value,
+        Some(Value::U32(value)) => f64::from(*value),
+        _ => f64::NAN,
+    };
+    if (least..=most).contains(&value) {
+        Ok(Some(value))
+    } else {
+        Err(OptionsError::Range { field, least, most, value })
+    }
+}
+
 /// Reads and checks operators' settings; what is not set keeps its default.
 pub fn parse(text: &str) -> Result<Options, OptionsError> {
-    let bad = |e: &dyn std::fmt::Display| OptionsError::Text(e.to_string());
-    let pool = DescriptorPool::decode(DESCRIPTORS).map_err(|e| bad(&e))?;
-    let descriptor = pool
-        .get_message_by_name("dapplecroft.options.v1.Options")
-        .ok_or_else(|| OptionsError::Text("no description of the settings".into()))?;
-    let message = DynamicMessage::parse_text_format(descriptor, text).map_err(|e| bad(&e))?;
-    let number = |field: &'static str, least: f64, most: f64| match message.get_field_by_name(field) {
-        Some(value) if message.has_field_by_name(field) => {
-            let value = match *value {
-                Value::F64(x) => x,
-                Value::U32(x) => f64::from(x),
-                _ => f64::NAN,
-            };
-            if (least..=most).contains(&value) {
-                Ok(Some(value))
-            } else {
-                Err(OptionsError::Range { field, least, most, value })
-            }
-        }
-        _ => Ok(None),
-    };
+    let message = read_message(text)?;
+    let number = |field, least, most| bounded(&message, field, least, most);
     let seconds =
         |field, least, most| number(field, least, most).map(|value| value.map(Duration::from_secs_f64));
     let mut options = Options::default();
@@ -82,15 +102,41 @@
     if let Some(machines) = number("standby_machines", 0.0, MAX_MACHINES)? {
         options.standby_machines = machines as usize;
     }
-    let flag = |field: &str, default: bool| match message.get_field_by_name(field).as_deref() {
-        Some(Value::Bool(value)) if message.has_field_by_name(field) => *value,
-        _ => default,
-    };
+    options.preempt = message::flag(&message, "preempt").unwrap_or(options.preempt);
+    options.thrift = message::flag(&message, "thrift").unwrap_or(options.thrift);
     options.federation = federation::read(&message)?;
-    options.preempt = flag("preempt", options.preempt);
-    options.thrift = flag("thrift", options.thrift);
+    options.admission = admission::read(&message)?;
     Ok(options)
 }
 
+/// The settings that a file puts in force, in text format: what is not set there with its
+/// default, if it has one that does not hang on the platform.
+pub fn in_force(text: &str) -> Result<String, OptionsError> {
+    let options = parse(text)?;
+    let mut message = read_message(text)?;
+    let seconds = |duration: Duration| Some(Value::F64(duration.as_secs_f64()));
+    let count = |number: usize| u32::try_from(number).ok().map(Value::U32);
+    let fields = [
+        ("node_lease_s", seconds(options.node_lease)),
+        ("block_lease_s", seconds(options.block_lease)),
+        ("drain_every_s", seconds(options.drain_every)),
+        ("drain_trigger", Some(Value::F64(options.drain_trigger))),
+        ("drain_window_s", seconds(options.drain_window)),
+        ("preempt", Some(Value::Bool(options.preempt))),
+        ("preempt_limit_s", seconds(options.preempt_limit)),
+        ("idle_return_s", options.idle_return.and_then(seconds)),
+        ("max_requests", count(options.max_requests)),
+        ("thrift", Some(Value::Bool(options.thrift))),
+        ("block_machines", options.block_machines.and_then(count)),
+        ("standby_machines", count(options.standby_machines)),
+    ];
+    for (name, value) in fields {
+        if let Some(value) = value {
+            message.set_field_by_name(name, value);
+        }
+    }
+    Ok(message.to_text_format_with_options(&FormatOptions::new().pretty(true)))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/dapplecroft/src/options/tests.rs
+++ b/crates/dapplecroft/src/options/tests.rs
@@ -47,3 +47,31 @@
     let text = format!("federation {{ cell: \"a\" incarnation: 1 listen: \"127.0.0.1:1\" {peer} }}");
     assert_eq!(parse(&text).unwrap_err().to_string(), "federation.peers: a is this cell itself");
 }
+
+#[test]
+fn the_file_that_switches_admission_control_on_is_accepted() {
+    let options = parse(include_str!("../../../../deploy/admission.textproto")).unwrap();
+    assert!(options.admission.is_some());
+    assert_eq!(parse("").unwrap().admission, None);
+}
+
+#[test]
+fn shares_that_can_not_be_are_refused_by_name() {
+    let error = |text: &str| parse(text).unwrap_err().to_string();
+    let weight = error("admission { teams { name: \"a\" weight: 0 } }");
+    assert!(weight.contains("weight") && weight.contains("is 0"), "{weight}");
+    assert!(error("admission { teams { name: \"a\" weight: inf } }").contains("weight"));
+    let missing = error("admission { teams { name: \"a\" classes { name: \"b\" } } }");
+    assert!(missing.contains("weight"), "{missing}");
+    assert!(error("admission { teams { name: \"a\" } teams { name: \"a\" } }").contains("named twice"));
+    assert!(error("admission { limit_cpu_s: 5 work_off_s: 5 }").contains("not both"));
+}
+
+#[test]
+fn the_settings_in_force_are_settings_again() {
+    for text in ["", include_str!("../../../../deploy/admission.textproto")] {
+        let printed = in_force(text).unwrap();
+        assert_eq!(parse(&printed).unwrap(), parse(text).unwrap(), "{printed}");
+        assert_eq!(in_force(&printed).unwrap(), printed);
+    }
+}
