Stories of overload, with a checker that reads the state service's history

Hints were cut at their longest, so half of all users came back together; demand counted for up to a minute after users had gone, so a silent team's share lay idle for about 50 s.

--- a/crates/dapplecroft-admission/src/demand.rs
+++ b/crates/dapplecroft-admission/src/demand.rs
@@ -17,8 +17,9 @@
 pub const KEPT: usize = 48;
 /// The most buckets that are kept.
 pub const MAX_BUCKETS: usize = 512;
-/// For how long a refused job counts as wanted, at least; at most twice as long.
-pub const WINDOW: Duration = Duration::from_secs(30);
+/// For how long a refused job counts as wanted, at least; at most twice as long. Whoever
+/// still wants it has come back by then (see [`crate::retry`]).
+pub const WINDOW: Duration = Duration::from_secs(15);
 
 /// The hash of a job's id, the same at all controllers.
 pub fn job_hash(id: &str) -> u64 {
--- a/crates/dapplecroft-admission/src/planner.rs
+++ b/crates/dapplecroft-admission/src/planner.rs
@@ -442,11 +442,15 @@
     let all: u64 = controllers.iter().map(|controller| left(&controller.host)).sum();
     let count = u64::try_from(input.controllers.len().max(1)).unwrap_or(1);
     let target = (room + all) / SHARED_PART / count;
+    // What others hold of it can't be moved: only the room is divided.
+    let mut room = room;
     for controller in controllers {
         let left = left(&controller.host);
-        if left < target.div_ceil(2) {
+        let more = target.saturating_sub(left).min(room);
+        if left < target.div_ceil(2) && more > 0 {
+            room -= more;
             let grant = grants.entry(controller.host.clone()).or_default();
-            grant.insert(shared.clone(), target - left);
+            grant.insert(shared.clone(), more);
         }
     }
 }
--- a/crates/dapplecroft-admission/src/planner/idle.rs
+++ b/crates/dapplecroft-admission/src/planner/idle.rs
@@ -6,10 +6,11 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// Credit that has not been touched for so long is taken back if it is wanted elsewhere.
-const IDLE: Duration = Duration::from_secs(25);
+/// Credit that has not been touched for so long is taken back if it is wanted elsewhere:
+/// longer than refused users are told to wait.
+const IDLE: Duration = Duration::from_secs(16);
 /// A controller's epoch is not ended more often than this for idle credit.
-const REST: Duration = Duration::from_secs(20);
+const REST: Duration = Duration::from_secs(10);
 /// Less than this part of the limit is left where it is: taking it back costs changes.
 const TRIFLE: u64 = 64;
 
--- a/crates/dapplecroft-admission/tests/max_min.rs
+++ b/crates/dapplecroft-admission/tests/max_min.rs
@@ -2,6 +2,7 @@
 
 use dapplecroft_admission::max_min::{Claim, share};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 /// Pours the room out in small steps, each to whoever stands lowest and wants more.
 fn poured(room: f64, claims: &[Claim], steps: usize) -> Vec<f64> {
@@ -26,6 +27,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(29),
+        ..ProptestConfig::default()
+    })]
+
     #[test]
     fn shares_are_those_of_progressive_filling(claims in claims(), room in 1u32..4000) {
         let room = f64::from(room);
--- a/crates/dapplecroft-controller/tests/stories/main.rs
+++ b/crates/dapplecroft-controller/tests/stories/main.rs
@@ -3,12 +3,14 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod admission;
 mod answers;
 mod blocks;
 mod cells;
 mod checkpoints;
 mod cluster;
 mod combined_faults;
+mod credit_checker;
 mod failures;
 mod federation;
 mod five;
@@ -17,6 +19,7 @@
 mod large_fleet;
 mod late;
 mod limits;
+mod overload;
 mod restarts;
 mod service_goals;
 mod services;
--- a/crates/dapplecroft-fakes/src/state.rs
+++ b/crates/dapplecroft-fakes/src/state.rs
@@ -129,6 +129,12 @@
         self.inner.lock().unwrap().turned_away
     }
 
+    /// Every change of keys with a prefix, in order: revision, key, and value or none.
+    pub fn history(&self, prefix: &str) -> Vec<(u64, String, Option<Value>)> {
+        let inner = self.inner.lock().unwrap();
+        inner.log.iter().filter(|(_, key, _)| key.starts_with(prefix)).cloned().collect()
+    }
+
     /// A key's value.
     pub fn value(&self, key: &str) -> Option<Value> {
         self.inner.lock().unwrap().keys.get(key).map(|e| e.data.clone())
