Jobs of other cells spend the leader's credit; nine controllers in the smallest records

Change: visit plans carry what they spend, settled as users' submissions are; the room for a tag is kept.

--- a/crates/dapplecroft-controller/src/admission.rs
+++ b/crates/dapplecroft-controller/src/admission.rs
@@ -3,7 +3,8 @@
 use crate::node::{Node, now};
 use crate::options::Options;
 use dapplecroft_admission::settings::{Platform, PlatformTeam};
-use dapplecroft_admission::{Admission, SettingsError};
+use dapplecroft_admission::{Admission, SettingsError, Settlement, Spending};
+use dapplecroft_state::UnitResult;
 use dapplecroft_wire::peer::AdmissionReply;
 use dapplecroft_wire::settings::{Params, Settings};
 use std::collections::BTreeSet;
@@ -33,3 +34,32 @@
         self.with(|core| core.admission_status(&replies, now()))
     }
 }
+
+/// Credit that a submission has set aside. If nobody waits for its outcome any more, that
+/// is unknown.
+pub(crate) struct OpenSpending<'a> {
+    node: &'a Node,
+    id: String,
+    spending: Spending,
+    settlement: Settlement,
+}
+
+impl<'a> OpenSpending<'a> {
+    pub(crate) fn new(node: &'a Node, id: &str, spending: Spending) -> Self {
+        OpenSpending { node, id: id.to_string(), spending, settlement: Settlement::Unknown }
+    }
+
+    pub(crate) fn settle(mut self, result: &UnitResult) {
+        self.settlement = match result {
+            UnitResult::Committed(_) => Settlement::Committed,
+            UnitResult::Conflict(_) | UnitResult::Refused(_) => Settlement::NotMade,
+            UnitResult::Unknown(_) => Settlement::Unknown,
+        };
+    }
+}
+
+impl Drop for OpenSpending<'_> {
+    fn drop(&mut self) {
+        self.node.with(|core| core.settle_spending(&self.id, &self.spending, self.settlement));
+    }
+}
--- a/crates/dapplecroft-controller/src/cells/answer.rs
+++ b/crates/dapplecroft-controller/src/cells/answer.rs
@@ -2,8 +2,10 @@
 
 use super::convert::{ReceivedTransfer, from_cell, from_transfer, to_answer, to_reply};
 use super::{ExchangeError, MAX_TRANSFERS, PROTOCOL};
+use crate::admission::OpenSpending;
 use crate::core::{VisitPlan, VisitRequest};
 use crate::node::{Node, now};
+use dapplecroft_admission::Spending;
 use dapplecroft_federation::{CellId, Epoch, Federation, TransferRequest, TransferState};
 use dapplecroft_sched::Amounts;
 use dapplecroft_state::{Unit, UnitResult};
@@ -131,9 +133,9 @@
                 VisitPlan::Answer(state) => return Ok(Some(state)),
                 VisitPlan::OutdatedSender => return Err(ExchangeError::OutdatedSender),
                 VisitPlan::NotNow => return Ok(None),
-                VisitPlan::Commit(unit) => {
+                VisitPlan::Commit(unit, spending) => {
                     let wait = transfer.request == TransferRequest::Cancel;
-                    if !self.commit_for_cells(unit).await && !wait {
+                    if !self.commit_step(&transfer.job, unit, spending).await && !wait {
                         return Ok(None);
                     }
                 }
@@ -142,25 +144,38 @@
         Ok(None)
     }
 
+    /// Commits a step of a hand-over, and settles what it spends.
+    async fn commit_step(&self, job: &str, unit: Unit, spending: Option<Spending>) -> bool {
+        let spending = spending.map(|spending| OpenSpending::new(self, job, spending));
+        let result = self.commit_unit_for_cells(unit).await;
+        if let Some(spending) = spending {
+            spending.settle(&result);
+        }
+        matches!(result, UnitResult::Committed(_))
+    }
+
     /// Commits a unit of a hand-over; on a conflict the keys are read again. `false`: it
     /// is not made, or nobody knows.
     pub(crate) async fn commit_for_cells(&self, unit: Unit) -> bool {
-        match self.committer.commit_soon(unit.clone()).await {
+        matches!(self.commit_unit_for_cells(unit).await, UnitResult::Committed(_))
+    }
+
+    async fn commit_unit_for_cells(&self, unit: Unit) -> UnitResult {
+        let result = self.committer.commit_soon(unit.clone()).await;
+        match &result {
             UnitResult::Committed(revision) => {
-                self.with(|core| core.apply_changes(&unit.changes, revision, now()));
-                true
+                self.with(|core| core.apply_changes(&unit.changes, *revision, now()));
             }
             UnitResult::Conflict(keys) => {
                 for key in keys {
-                    self.refresh(&key, || true).await;
+                    self.refresh(key, || true).await;
                 }
-                false
             }
             UnitResult::Refused(error) | UnitResult::Unknown(error) => {
                 tracing::debug!(error, "a step of a hand-over is not committed yet");
-                false
             }
         }
+        result
     }
 }
 
--- a/crates/dapplecroft-controller/src/core/credit/submission.rs
+++ b/crates/dapplecroft-controller/src/core/credit/submission.rs
@@ -34,26 +34,28 @@
 impl Core {
     /// Sets credit aside for a submission.
     pub fn rule(&mut self, spec: &JobSpec, random: f64, wall: f64, now: Instant) -> Ruling {
+        match self.admit(spec) {
+            Ok(plan) => Ruling::Admitted(plan),
+            Err(Refusal::NoEpoch) => Ruling::Refused(EPOCH_SOON),
+            Err(Refusal::NoCredit) => Ruling::Refused(self.refuse(spec, random, wall, now)),
+        }
+    }
+
+    /// Sets credit aside for a job of a user or of another cell.
+    pub(in crate::core) fn admit(&mut self, spec: &JobSpec) -> Result<SubmissionPlan, Refusal> {
         if self.credit.is_none() {
-            return Ruling::Admitted(SubmissionPlan::default());
+            return Ok(SubmissionPlan::default());
         }
         if !self.admission_in_force {
             // Once credit is demanded, nothing is accepted without.
             let policy = self.unchanged(records::ADMISSION_POLICY.into());
-            return Ruling::Admitted(SubmissionPlan {
-                conditions: vec![policy],
-                ..SubmissionPlan::default()
-            });
+            return Ok(SubmissionPlan { conditions: vec![policy], ..SubmissionPlan::default() });
         }
         if let Some(plan) = self.reserved_plan(&spec.id) {
-            return Ruling::Admitted(plan);
+            return Ok(plan);
         }
         let charge = self.reckoned_charge(spec, self.least_charge());
-        match self.spend(spec, charge) {
-            Ok(plan) => Ruling::Admitted(plan),
-            Err(Refusal::NoEpoch) => Ruling::Refused(EPOCH_SOON),
-            Err(Refusal::NoCredit) => Ruling::Refused(self.refuse(spec, charge, random, wall, now)),
-        }
+        self.spend(spec, charge)
     }
 
     /// The least that a job is charged in this controller's epoch.
@@ -86,7 +88,8 @@
         Some(SubmissionPlan { conditions, tag: Some(tag), spending: None })
     }
 
-    fn refuse(&mut self, spec: &JobSpec, charge: u64, random: f64, wall: f64, now: Instant) -> Duration {
+    fn refuse(&mut self, spec: &JobSpec, random: f64, wall: f64, now: Instant) -> Duration {
+        let charge = self.reckoned_charge(spec, self.least_charge());
         let bucket = self.bucket_of(spec);
         if let Some(credit) = &mut self.credit {
             credit.demand.refused(&spec.id, &bucket, charge, now);
--- a/crates/dapplecroft-controller/src/core/federation/visitor.rs
+++ b/crates/dapplecroft-controller/src/core/federation/visitor.rs
@@ -4,6 +4,7 @@
 use crate::core::{Core, Subject};
 use crate::jobs::{Job, OpenJob};
 use crate::records::{self, JobRecord, JobStage, stored_size};
+use dapplecroft_admission::Spending;
 use dapplecroft_cloud::MAX_RENT;
 use dapplecroft_federation::summary::{Room, Summary};
 use dapplecroft_federation::visitor::{Known, is_prunable, on_request};
@@ -29,8 +30,9 @@
 pub enum VisitPlan {
     /// It is answered.
     Answer(TransferState),
-    /// This is committed first; then the request is looked at again.
-    Commit(Unit),
+    /// This is committed first; then the request is looked at again. Credit that it
+    /// spends has to be settled.
+    Commit(Unit, Option<Spending>),
     /// It is an incarnation that has been replaced.
     OutdatedSender,
     /// Nothing can be said now.
@@ -59,6 +61,21 @@
     stored_size(value) + NOTES <= limit
 }
 
+fn visiting_record(request: &VisitRequest, spec: JobSpec) -> JobRecord {
+    JobRecord {
+        stage: JobStage::Visiting,
+        tasks: spec.tasks,
+        allocated: BTreeMap::new(),
+        legacy_done: Default::default(),
+        done: None,
+        at: request.submitted,
+        spec: Some(spec),
+        away: None,
+        origin: Some(Origin { cell: request.from.clone(), epoch: request.epoch }),
+        credit: None,
+    }
+}
+
 impl OpenJob {
     fn visit_state(&self) -> TransferState {
         let running = self.placed.values().filter(|p| p.committed).count();
@@ -89,7 +106,7 @@
 
     /// What to do about a request of another cell. `taken_cpus` are those of jobs that
     /// were accepted and are not in the copy yet.
-    pub fn visit_plan(&self, request: &VisitRequest, taken_cpus: i64, now: Instant) -> VisitPlan {
+    pub fn visit_plan(&mut self, request: &VisitRequest, taken_cpus: i64, now: Instant) -> VisitPlan {
         let (from, job) = (request.from, request.job);
         let known = Known {
             job: self.visit(job),
@@ -104,11 +121,11 @@
         let unit = match on_request(&known, from, request.epoch, request.request, room) {
             VisitorStep::Answer(state) => return VisitPlan::Answer(state),
             VisitorStep::OutdatedSender => return VisitPlan::OutdatedSender,
-            VisitorStep::Accept => self.accept_unit(request),
+            VisitorStep::Accept => return self.accept_plan(request),
             VisitorStep::Refuse => self.refuse_unit(request),
             VisitorStep::Withdraw => self.withdraw_visit_unit(request),
         };
-        unit.map_or(VisitPlan::NotNow, VisitPlan::Commit)
+        unit.map_or(VisitPlan::NotNow, |unit| VisitPlan::Commit(unit, None))
     }
 
     /// The conditions of any change that a request brings: everything that the decision
@@ -122,27 +139,29 @@
         ])
     }
 
-    fn accept_unit(&self, request: &VisitRequest) -> Option<Unit> {
-        let spec = request.spec?.clone();
-        let record = JobRecord {
-            stage: JobStage::Visiting,
-            tasks: spec.tasks,
-            allocated: BTreeMap::new(),
-            legacy_done: Default::default(),
-            done: None,
-            at: request.submitted,
-            spec: Some(spec),
-            away: None,
-            origin: Some(Origin { cell: request.from.clone(), epoch: request.epoch }),
-            credit: None,
-        };
-        let value = self.job_value(&record);
-        if !fits_value(&value, self.limits().value) {
-            return self.refuse_unit(request);
+    /// A job of another cell is admitted as a user's is, by the leader's own credit.
+    fn accept_plan(&mut self, request: &VisitRequest) -> VisitPlan {
+        let Some(spec) = request.spec else { return VisitPlan::NotNow };
+        let record = visiting_record(request, spec.clone());
+        if !fits_value(&self.job_value(&record), self.limits().value) {
+            return self.refuse_plan(request);
         }
-        let conditions = self.visit_conditions(request.from, request.job)?;
+        let Some(mut conditions) = self.visit_conditions(request.from, request.job) else {
+            return VisitPlan::NotNow;
+        };
+        let Ok(admitted) = self.admit(spec) else {
+            tracing::debug!(job = request.job, from = %request.from, "no credit for a job of another cell");
+            return self.refuse_plan(request);
+        };
+        conditions.extend(admitted.conditions);
         let key = records::job_key(request.job);
-        Some(Unit { conditions, changes: vec![Change::Set { key, value, lease: None }] })
+        let value = self.job_value(&JobRecord { credit: admitted.tag, ..record });
+        let unit = Unit { conditions, changes: vec![Change::Set { key, value, lease: None }] };
+        VisitPlan::Commit(unit, admitted.spending)
+    }
+
+    fn refuse_plan(&self, request: &VisitRequest) -> VisitPlan {
+        self.refuse_unit(request).map_or(VisitPlan::NotNow, |unit| VisitPlan::Commit(unit, None))
     }
 
     fn refuse_unit(&self, request: &VisitRequest) -> Option<Unit> {
--- a/crates/dapplecroft-controller/src/users.rs
+++ b/crates/dapplecroft-controller/src/users.rs
@@ -1,11 +1,11 @@
 //! The users' interface.
 
+use crate::admission::OpenSpending;
 use crate::core::{Ruling, SubmissionPlan};
 use crate::jobs::Job;
 use crate::node::{Answered, Node, Question, Reply, lock, now};
 use crate::records::{self, JobRecord, JobStage, stored_size};
 use bytes::Bytes;
-use dapplecroft_admission::{Settlement, Spending};
 use dapplecroft_sched::Amounts;
 use dapplecroft_state::{Unit, UnitResult};
 use dapplecroft_wire::MAX_BODY;
@@ -30,6 +30,10 @@
 /// Seconds after which to ask again about a job that another cell answers for.
 const OTHER_CELL_RETRY: u32 = 5;
 
+/// Bytes of a tag of admission control beside its names: two numbers and what separates
+/// them.
+const TAG_NUMBERS: usize = 64;
+
 /// How often a submission is looked at again when what it was bound to has changed.
 const MAX_RULINGS: usize = 3;
 
@@ -180,7 +184,8 @@
             credit: None,
         };
         let value = self.with(|core| core.job_value(&record));
-        if stored_size(&value) + NOTES > self.settings.params.state.lasting().value {
+        let notes = NOTES + self.tag_size(&spec);
+        if stored_size(&value) + notes > self.settings.params.state.lasting().value {
             return self.unless_known(&id, 400, "too long to be stored").await;
         }
         // A conflict about credit means that the leader has granted or taken back some.
@@ -209,6 +214,12 @@
         Reply::busy("credit changes too quickly", 1)
     }
 
+    /// Bytes of a value that the tag of admission control takes at most.
+    fn tag_size(&self, spec: &JobSpec) -> usize {
+        let names = self.settings.host_name.len() + spec.team.len() + spec.class.len();
+        if self.options.admission.is_some() { TAG_NUMBERS + names } else { 0 }
+    }
+
     fn rule(&self, spec: &JobSpec) -> Ruling {
         let random = lock(&self.random).random();
         let wall = self.wall_seconds();
@@ -343,35 +354,6 @@
     u32::try_from(pause.as_secs()).unwrap_or(u32::MAX).max(1)
 }
 
-/// Credit that a submission has set aside. If nobody waits for its outcome any more, that
-/// is unknown.
-struct OpenSpending<'a> {
-    node: &'a Node,
-    id: String,
-    spending: Spending,
-    settlement: Settlement,
-}
-
-impl<'a> OpenSpending<'a> {
-    fn new(node: &'a Node, id: &str, spending: Spending) -> Self {
-        OpenSpending { node, id: id.to_string(), spending, settlement: Settlement::Unknown }
-    }
-
-    fn settle(mut self, result: &UnitResult) {
-        self.settlement = match result {
-            UnitResult::Committed(_) => Settlement::Committed,
-            UnitResult::Conflict(_) | UnitResult::Refused(_) => Settlement::NotMade,
-            UnitResult::Unknown(_) => Settlement::Unknown,
-        };
-    }
-}
-
-impl Drop for OpenSpending<'_> {
-    fn drop(&mut self) {
-        self.node.with(|core| core.settle_spending(&self.id, &self.spending, self.settlement));
-    }
-}
-
 /// A job that is here for another cell: only that one tells its user how it stands.
 fn other_cell() -> Reply {
     Reply::busy("another cell answers for this job", OTHER_CELL_RETRY)
--- a/crates/dapplecroft-controller/tests/stories/admission.rs
+++ b/crates/dapplecroft-controller/tests/stories/admission.rs
@@ -3,8 +3,10 @@
 use crate::cluster::{STATE, host, pause};
 use crate::overload::{Overload, TASK, body, options};
 use dapplecroft_controller::Options;
-use dapplecroft_fakes::{Action, Rule};
+use dapplecroft_fakes::{Action, Limits, Rule};
 use http::Method;
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// A limit of so many tasks.
@@ -141,6 +143,7 @@
         }
     };
     let (ids, ()) = tokio::join!(o.flood(1, "a", every(200), MINUTE), trouble);
+    assert!(o.cluster.net.matched(Action::Hold) > 0);
     assert!(o.accepted(&ids) > 20);
     o.check_recovered().await;
 }
@@ -151,6 +154,7 @@
     o.until_in_force().await;
     o.cluster.net.rule(Rule::all(&host(1), STATE, Action::LoseAnswer).path("/multi").body("dc/j/").times(12));
     let ids = o.flood(1, "a", every(200), MINUTE).await;
+    assert!(o.cluster.net.matched(Action::LoseAnswer) > 0);
     assert!(o.accepted(&ids) > 40);
     o.check_recovered().await;
 }
@@ -176,6 +180,7 @@
             }
         };
         let (ids, ()) = tokio::join!(o.flood(1, "a", every(200), MINUTE), trouble);
+        assert!(o.cluster.net.matched(action) > 0, "{action:?}");
         assert!(o.accepted(&ids) > 30, "{action:?}");
         o.check_recovered().await;
     }
@@ -202,6 +207,7 @@
         }
     };
     let (ids, ()) = tokio::join!(o.flood(1, "a", every(200), MINUTE), trouble);
+    assert!(o.cluster.net.matched(Action::Hold) > 0);
     assert!(o.accepted(&ids) > 40);
     o.check_recovered().await;
 }
@@ -372,10 +378,48 @@
 async fn a_record_of_credit_that_can_not_be_read_counts_as_spent() {
     let o = Overload::start(3, 4, options(LIMIT)).await;
     o.until_in_force().await;
-    o.cluster.state.put("dc/a/g/0", serde_json::json!("nonsense"));
+    o.cluster.state.put("dc/a/g/0", json!("nonsense"));
     let ids = o.flood(1, "a", every(200), MINUTE).await;
     assert!(o.accepted(&ids) > 40, "{}", o.accepted(&ids));
     let leader = o.cluster.leader().unwrap();
     assert!(o.cluster.node(leader).admission_status().await.unreadable > 0);
     o.check_recovered().await;
 }
+
+#[tokio::test(start_paused = true)]
+async fn nine_controllers_and_eight_teams_of_four_classes_fit_the_smallest_records() {
+    let teams: Vec<Value> =
+        (0..8).map(|t| json!({"name": format!("harbour-team-{t}"), "cpus": 4.0})).collect();
+    let classes: Vec<Value> =
+        (0..4).map(|c| json!({"kind": "finished", "class": format!("night-class-{c}")})).collect();
+    let limits = json!({"value_kb": 2.0, "txn_ops": 4, "write_rps": 18.0});
+    let platform = json!({"teams": teams, "objectives": classes, "now": limits});
+    let o = Overload::on_platform(9, 8, options(LIMIT * 3), platform, |cluster| {
+        cluster.state.limit(Limits { value: 2048, changes: 4, rate: 18.0 });
+    })
+    .await;
+    o.until_in_force().await;
+    for round in 0..300u64 {
+        let bucket = round % 32;
+        let mut body = body(&format!("run-{round}"), &format!("harbour-team-{}", bucket / 4), 1);
+        body["lane"] = json!(format!("night-class-{}", bucket % 4));
+        o.user_with(body);
+        pause(0.1).await;
+    }
+    o.until_users_are_gone().await;
+    let refused = o.cluster.state.refused();
+    assert_eq!((refused.values, refused.transactions), (0, 0));
+    assert!(o.told.lock().unwrap().statuses[&429] > 100);
+    let buckets: BTreeSet<u64> = o
+        .told
+        .lock()
+        .unwrap()
+        .accepted
+        .keys()
+        .map(|id| id.trim_start_matches("run-").parse::<u64>().unwrap() % 32)
+        .collect();
+    assert_eq!(buckets.len(), 32, "every class of every team has had some accepted");
+    let pages = o.cluster.state.keys("dc/a/g/").len();
+    assert!(pages > 1, "they are too many for one record");
+    o.check_recovered().await;
+}
--- a/crates/dapplecroft-controller/tests/stories/cluster.rs
+++ b/crates/dapplecroft-controller/tests/stories/cluster.rs
@@ -127,6 +127,9 @@
         text["facts"]["teams"] = json!(teams);
         text["facts"]["state"]["next"] = Value::Null;
     }
+    if next["objectives"].is_array() {
+        text["facts"]["objectives"] = next["objectives"].clone();
+    }
     if let Some(now) = next["now"].as_object() {
         // What it takes at first, if that is not the usual.
         for (name, value) in now {
--- a/crates/dapplecroft-controller/tests/stories/overload.rs
+++ b/crates/dapplecroft-controller/tests/stories/overload.rs
@@ -111,7 +111,17 @@
         teams: Vec<Value>,
         prepare: impl FnOnce(&Cluster),
     ) -> Overload {
-        let next = json!({"teams": teams});
+        Overload::on_platform(nodes, machines, options, json!({"teams": teams}), prepare).await
+    }
+
+    /// The same with whatever the platform says.
+    pub async fn on_platform(
+        nodes: usize,
+        machines: usize,
+        options: Options,
+        next: Value,
+        prepare: impl FnOnce(&Cluster),
+    ) -> Overload {
         let cluster = Cluster::of(nodes, machines, |_| {}, options, next, prepare).await;
         Overload { cluster: Arc::new(cluster), told: Arc::default(), users: Mutex::default() }
     }
@@ -127,8 +137,15 @@
 
     /// A user begins to submit a job.
     pub fn user(&self, id: &str, team: &str, tasks: u32) {
-        self.cluster.referee.job(id, team, 4.0);
-        let work = persist(self.cluster.clone(), self.told.clone(), body(id, team, tasks), id.len());
+        self.user_with(body(id, team, tasks));
+    }
+
+    /// A user begins to submit what is given.
+    pub fn user_with(&self, body: Value) {
+        let id = body["id"].as_str().unwrap();
+        self.cluster.referee.job(id, body["crew"].as_str().unwrap(), 4.0);
+        let first = id.bytes().map(usize::from).sum();
+        let work = persist(self.cluster.clone(), self.told.clone(), body, first);
         self.users.lock().unwrap().push(tokio::spawn(work));
     }
 
