A grant with an unknown outcome is tried until it is settled, also when refused meanwhile

Cause: found by reading. A refusal after an unknown outcome ended the attempt, and the next plan could change other records than the late copy: both would be carried out, beyond the limit. A restarted process is out of service for users until it has an epoch, but only while there is a leader to give it one. Change: nothing else is granted until the transaction is made or its conditions fail; the random model has a page of grants for each controller and leaders that try again.

--- a/crates/dapplecroft-admission/tests/credit/random.rs
+++ b/crates/dapplecroft-admission/tests/credit/random.rs
@@ -1,6 +1,6 @@
 //! Long random histories of a larger cell, with the leader's real plans.
 
-use crate::world::{Key, PAGE, Record, World, host};
+use crate::world::{Key, Record, World, host};
 use dapplecroft_admission::demand::job_hash;
 use dapplecroft_admission::settings::{Platform, PlatformTeam};
 use dapplecroft_admission::{Admission, BucketDemand, ControllerView, Planner, PlannerInput, RawAdmission};
@@ -88,14 +88,14 @@
             cpus_up: 0.0,
             now: self.now,
             wall: 0.0,
-            max_value: 2048,
+            // So little that each controller has a page of its own.
+            max_value: 110,
             max_changes: 4,
         };
         let plan = self.planners[l].plan(&self.world.leaders[l].ledger, &input);
         let epochs = plan.epochs.into_iter().map(|(host, record)| (Key::Epoch(host), Record::Epoch(record)));
         let pages = plan.pages.into_iter().map(|(page, record)| (Key::Page(page), Record::Page(record)));
         let changes: Vec<(Key, Record)> = epochs.chain(pages).collect();
-        assert!(changes.iter().all(|(key, _)| !matches!(key, Key::Page(page) if *page != PAGE)));
         if !changes.is_empty() {
             self.world.leader_commits(l, changes);
         }
@@ -133,7 +133,7 @@
     /// Everything settles: nothing is on its way, all copies catch up, all jobs end.
     fn settle(&mut self) {
         while !self.world.in_flight.is_empty() {
-            self.world.deliver(0, false, false);
+            self.world.deliver(0, self.world.in_flight[0].is_from_leader(), false);
         }
         (0..60).for_each(|job| self.world.finish(&format!("run-{job}")));
         self.world.elect(0);
--- a/crates/dapplecroft-admission/tests/credit/world.rs
+++ b/crates/dapplecroft-admission/tests/credit/world.rs
@@ -7,6 +7,7 @@
 };
 use std::collections::BTreeMap;
 
+/// The page of grants of the explored case.
 pub const PAGE: u32 = 0;
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -29,7 +30,7 @@
 #[derive(Debug, Clone)]
 pub enum Origin {
     Submission { host: usize, identity: String, job: String, spending: Spending },
-    Leader,
+    Leader(usize),
 }
 
 #[derive(Debug, Clone)]
@@ -41,6 +42,13 @@
     pub awaited: bool,
 }
 
+impl Transaction {
+    /// Whether a leader sent it, which tries until it hears the outcome.
+    pub fn is_from_leader(&self) -> bool {
+        matches!(self.origin, Origin::Leader(_))
+    }
+}
+
 #[derive(Debug, Clone)]
 pub struct Controller {
     pub identity: String,
@@ -142,10 +150,12 @@
         }
         controller.followed = self.log.last().map_or(0, |(revision, _, _)| *revision);
         // A page may have been written before the epoch was seen.
-        if let Some((Record::Page(page), _)) = self.keys.get(&Key::Page(PAGE))
-            && let Some(grant) = page.hosts.get(&host(n))
-        {
-            self.controllers[n].spender.apply_grant(grant);
+        for (record, _) in self.keys.values() {
+            if let Record::Page(page) = record
+                && let Some(grant) = page.hosts.get(&host(n))
+            {
+                self.controllers[n].spender.apply_grant(grant);
+            }
         }
     }
 
@@ -180,6 +190,10 @@
 
     /// A leader is elected, whatever the others believe.
     pub fn elect(&mut self, l: usize) {
+        for transaction in &mut self.in_flight {
+            // What it had on its way in an earlier term is void.
+            transaction.awaited &= !matches!(transaction.origin, Origin::Leader(other) if other == l);
+        }
         let revision = self.commit(vec![(Key::Leader, Record::Leader)]);
         self.leaders[l].term = Some(revision);
     }
@@ -188,7 +202,13 @@
     pub fn leader_condition(&self, l: usize) -> Option<(Key, u64)> {
         let leader = &self.leaders[l];
         let term = leader.term.filter(|term| *term <= leader.followed)?;
-        Some((Key::Leader, term))
+        (!self.waits(l)).then_some((Key::Leader, term))
+    }
+
+    /// Whether a transaction of a leader is not settled: until then it grants nothing else.
+    fn waits(&self, l: usize) -> bool {
+        let own = |origin: &Origin| matches!(origin, Origin::Leader(other) if *other == l);
+        self.in_flight.iter().any(|transaction| transaction.awaited && own(&transaction.origin))
     }
 
     /// What a leader's copy says the versions of keys are.
@@ -201,7 +221,7 @@
         let Some(leader) = self.leader_condition(l) else { return };
         let mut conditions = vec![leader];
         conditions.extend(changes.iter().map(|(key, _)| (key.clone(), self.leader_version(l, key))));
-        self.in_flight.push(Transaction { conditions, changes, origin: Origin::Leader, awaited: true });
+        self.in_flight.push(Transaction { conditions, changes, origin: Origin::Leader(l), awaited: true });
     }
 
     /// Gives a controller so much more.
@@ -260,6 +280,13 @@
         } else {
             self.in_flight.remove(n);
         }
+        if let Origin::Leader(_) = transaction.origin
+            && transaction.awaited
+            && !heard
+        {
+            // Its outcome is unknown: it is tried again.
+            self.in_flight.push(transaction.clone());
+        }
         let holds = transaction.conditions.iter().all(|(key, version)| self.version(key) == *version);
         if holds {
             self.commit(transaction.changes.clone());
@@ -276,8 +303,8 @@
 
     /// A transaction's origin gives up waiting; it may yet be carried out.
     pub fn give_up(&mut self, n: usize) {
-        if std::mem::take(&mut self.in_flight[n].awaited) {
-            let origin = self.in_flight[n].origin.clone();
+        let origin = self.in_flight[n].origin.clone();
+        if matches!(origin, Origin::Submission { .. }) && std::mem::take(&mut self.in_flight[n].awaited) {
             self.settle(&origin, Settlement::Unknown);
         }
     }
@@ -315,6 +342,19 @@
         outstanding + credit
     }
 
+    fn ceilings(&self, host: &str, epoch: u64) -> BTreeMap<Bucket, u64> {
+        let pages = self.keys.values().filter_map(|(record, _)| match record {
+            Record::Page(page) => page.hosts.get(host),
+            _ => None,
+        });
+        let mut ceilings = BTreeMap::new();
+        for (bucket, ceiling) in pages.filter(|grant| grant.epoch == epoch).flat_map(|g| &g.ceilings) {
+            let known: &mut u64 = ceilings.entry(bucket.clone()).or_default();
+            *known = (*known).max(*ceiling);
+        }
+        ceilings
+    }
+
     pub fn check(&self) {
         let committed = self.committed();
         assert!(committed <= self.limit, "{committed} of {}: {self:#?}", self.limit);
--- a/crates/dapplecroft-controller/src/core/credit.rs
+++ b/crates/dapplecroft-controller/src/core/credit.rs
@@ -193,9 +193,9 @@
     }
 
     /// Whether this process can take users' submissions as far as credit goes; a new
-    /// process has none until the leader has given it an epoch.
-    pub fn has_credit(&self) -> bool {
-        let credit = self.credit.as_ref().filter(|_| self.admission_in_force);
+    /// process has none until the leader has given it an epoch, which takes a moment.
+    pub fn may_accept(&self) -> bool {
+        let credit = self.credit.as_ref().filter(|_| self.admission_in_force && self.leader.is_some());
         credit.is_none_or(|credit| credit.spender.has_epoch())
     }
 
--- a/crates/dapplecroft-controller/src/loops/admission.rs
+++ b/crates/dapplecroft-controller/src/loops/admission.rs
@@ -57,10 +57,12 @@
     }
 
     /// Commits a unit. One with an unknown outcome is tried again until it is made or
-    /// its conditions fail: only one of the copies can find them true, and until it is
-    /// settled nothing else is granted.
+    /// its conditions fail: only one of the copies can find them true. Until then nothing
+    /// else is granted, since a late copy may change records that another plan leaves
+    /// alone.
     async fn commit_credit(&self, unit: Unit) {
         let transaction = Transaction { conditions: unit.conditions, changes: unit.changes };
+        let mut unknown = false;
         loop {
             match self.state.transact(&transaction, true).await {
                 Outcome::Done(Verdicts::Committed(revision)) => {
@@ -73,12 +75,13 @@
                     }
                     return;
                 }
-                Outcome::Refused(error) => {
+                Outcome::Refused(error) if !unknown => {
                     tracing::debug!(error, "credit not granted");
                     sleep(RETRY_PAUSE).await;
                     return;
                 }
-                Outcome::Unknown(error) => {
+                Outcome::Refused(error) | Outcome::Unknown(error) => {
+                    unknown = true;
                     tracing::debug!(error, "credit perhaps granted");
                     sleep(RETRY_PAUSE).await;
                 }
--- a/crates/dapplecroft-controller/src/node.rs
+++ b/crates/dapplecroft-controller/src/node.rs
@@ -289,7 +289,7 @@
     /// users longer than the refusals that they get meanwhile.
     fn up(&self) -> Reply {
         let ready =
-            self.with(|core| core.loaded && core.has_credit()) || self.shared_outage.load(Ordering::Relaxed);
+            self.with(|core| core.loaded && core.may_accept()) || self.shared_outage.load(Ordering::Relaxed);
         if ready { Reply::json(200, &serde_json::json!({"up": true})) } else { Reply::busy("not ready", 1) }
     }
 
