--- a/crates/dapplecroft-admission/src/planner.rs
+++ b/crates/dapplecroft-admission/src/planner.rs
@@ -24,7 +24,7 @@
 const LIMIT_STEP: f64 = 0.125;
 /// While nothing is refused, this part of the room is kept as credit that any job may
 /// draw on; it is topped up once half of it is spent.
-const SHARED_PART: u64 = 2;
+const SHARED_PART: u64 = 4;
 /// Urgent classes get up to this part of what their team gets before the others.
 const URGENT_PART: f64 = 0.8;
 
--- a/crates/dapplecroft-admission/src/settings.rs
+++ b/crates/dapplecroft-admission/src/settings.rs
@@ -9,8 +9,10 @@
 const MAX_JOBS: u64 = 20_000;
 /// A job is charged at most this part of the limit.
 const LARGEST_PART: f64 = 0.25;
-/// The part of the limit that is kept for a team which wants it, before weights count.
-const FLOOR: f64 = 0.02;
+/// The part of the limit that is kept for a team which wants it, before weights count; all
+/// such parts together come to no more than the other.
+const FLOOR: f64 = 0.01;
+const FLOORS_TOGETHER: f64 = 0.25;
 
 /// The share of a class within its team.
 #[derive(Debug, Clone, Default, PartialEq, Validate)]
@@ -201,7 +203,9 @@
             None if least_cpus <= 0.0 => return Err(SettingsError::NoCapacity),
             None => LimitRule::Time(self.work_off_s.unwrap_or(WORK_OFF_S)),
         };
-        let teams = platform.teams.iter().map(|team| (team.name.clone(), self.share_of(team))).collect();
+        let count = platform.teams.len();
+        let share = |team: &PlatformTeam| (team.name.clone(), self.share_of(team, count));
+        let teams = platform.teams.iter().map(share).collect();
         let max_jobs = self.max_jobs.unwrap_or(MAX_JOBS);
         let admission = Admission { limit, least_cpus, max_jobs, largest: self.largest_job_cpu_s, teams };
         admission.check_limit(platform)?;
@@ -221,14 +225,15 @@
         Ok(())
     }
 
-    fn share_of(&self, team: &PlatformTeam) -> TeamShare {
+    fn share_of(&self, team: &PlatformTeam, teams: usize) -> TeamShare {
         let raw = self.teams.iter().find(|raw| raw.name == team.name);
         let guaranteed = if team.guaranteed_cpus > 0.0 { team.guaranteed_cpus } else { 1.0 };
         let classes = raw.map(|raw| raw.classes.as_slice()).unwrap_or_default();
-        let spare = 1.0 - self.teams.iter().filter_map(|raw| raw.floor).sum::<f64>();
+        let set: f64 = self.teams.iter().filter_map(|raw| raw.floor).sum();
+        let spare = (1.0 - set).clamp(0.0, FLOORS_TOGETHER);
         TeamShare {
             weight: raw.and_then(|raw| raw.weight).unwrap_or(guaranteed),
-            floor: raw.and_then(|raw| raw.floor).unwrap_or_else(|| FLOOR.min(spare.max(0.0) / 100.0)),
+            floor: raw.and_then(|raw| raw.floor).unwrap_or(FLOOR.min(spare / teams as f64)),
             classes: classes.iter().map(|class| (class.name.clone(), class.weight)).collect(),
         }
     }
--- a/crates/dapplecroft-admission/tests/credit/world.rs
+++ b/crates/dapplecroft-admission/tests/credit/world.rs
@@ -327,11 +327,7 @@
         let mut credit = 0;
         for (key, (record, _)) in &self.keys {
             let (Key::Epoch(host), Record::Epoch(epoch)) = (key, record) else { continue };
-            let Some((Record::Page(page), _)) = self.keys.get(&Key::Page(PAGE)) else { continue };
-            let Some(grant) = page.hosts.get(host).filter(|grant| grant.epoch == epoch.epoch) else {
-                continue;
-            };
-            for (bucket, ceiling) in &grant.ceilings {
+            for (bucket, ceiling) in &self.ceilings(host, epoch.epoch) {
                 let own =
                     |tag: &CreditTag| tag.host == *host && tag.epoch == epoch.epoch && tag.bucket == *bucket;
                 let spent: u64 = jobs.clone().filter(|(tag, _)| own(tag)).map(|(tag, _)| tag.charge).sum();
--- /dev/null
+++ b/crates/dapplecroft-controller/examples/admission_hour.rs
@@ -0,0 +1,35 @@
+//! An hour of overload, on stand-ins and their stopped clock: what each of eight teams is
+//! accepted of what it offers. Not a part of CI.
+//!
+//!     cargo run --release -p dapplecroft-controller --example admission_hour -- SEED [SECONDS] [without]
+
+#![allow(clippy::unwrap_used)]
+
+#[allow(dead_code)]
+#[path = "../tests/stories/cluster.rs"]
+mod cluster;
+#[allow(dead_code)]
+#[path = "../tests/stories/credit_checker.rs"]
+mod credit_checker;
+#[allow(dead_code)]
+#[path = "../tests/stories/overload.rs"]
+mod overload;
+#[allow(dead_code)]
+#[path = "../tests/stories/overload_hour.rs"]
+mod overload_hour;
+
+use std::time::{Duration, Instant};
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let seed = arguments.first().and_then(|text| text.parse().ok()).unwrap_or(1);
+    let seconds = arguments.get(1).and_then(|text| text.parse().ok()).unwrap_or(3600);
+    let with_admission = arguments.get(2).is_none_or(|word| word != "without");
+    let begun = Instant::now();
+    tokio::time::pause();
+    let report = overload_hour::overload(seed, Duration::from_secs(seconds), with_admission).await;
+    println!("seed {seed}, {seconds} s, admission {}", if with_admission { "on" } else { "off" });
+    overload_hour::print(&report);
+    println!("{:.1} s of real time", begun.elapsed().as_secs_f64());
+}
--- a/crates/dapplecroft-controller/tests/stories/admission.rs
+++ b/crates/dapplecroft-controller/tests/stories/admission.rs
@@ -2,6 +2,7 @@
 
 use crate::cluster::{STATE, host, pause};
 use crate::overload::{Overload, TASK, body, options};
+use crate::overload_hour;
 use dapplecroft_controller::Options;
 use dapplecroft_fakes::{Action, Limits, Rule};
 use http::Method;
@@ -423,3 +424,17 @@
     assert!(pages > 1, "they are too many for one record");
     o.check_recovered().await;
 }
+
+#[tokio::test(start_paused = true)]
+async fn ten_minutes_of_overload_give_each_team_its_share_while_controllers_end() {
+    let report = overload_hour::overload(7, Duration::from_secs(600), true).await;
+    overload_hour::print(&report);
+    assert!(report.ends > 3 && report.cuts > 0);
+    assert!(report.verdict.fullest <= 1.0);
+    for team in &report.teams {
+        let part = team.accepted as f64 / team.fair;
+        assert!((0.75..1.3).contains(&part), "{team:?}");
+        assert!(team.longest_gap < MINUTE, "{team:?}");
+        assert!(team.worst_window > 0.4, "{team:?}");
+    }
+}
--- a/crates/dapplecroft-controller/tests/stories/credit_checker.rs
+++ b/crates/dapplecroft-controller/tests/stories/credit_checker.rs
@@ -34,6 +34,10 @@
     /// The most that was outstanding and out as credit at any revision, over the limit
     /// then.
     pub fullest: f64,
+    /// The last revision at which nine tenths of the limit were in use.
+    pub last_full: u64,
+    /// The last revision.
+    pub revision: u64,
     /// Outstanding work at the end.
     pub outstanding: u64,
     /// Credit that can be spent at the end.
@@ -176,6 +180,10 @@
         if cell.demands_credit() && cell.limit > 0 {
             verdict.fullest = verdict.fullest.max(total as f64 / cell.limit as f64);
         }
+        if cell.limit > 0 && total * 10 >= cell.limit * 9 {
+            verdict.last_full = revision;
+        }
+        verdict.revision = revision;
         before = total;
     }
     verdict.outstanding = cell.outstanding();
--- a/crates/dapplecroft-controller/tests/stories/main.rs
+++ b/crates/dapplecroft-controller/tests/stories/main.rs
@@ -20,6 +20,7 @@
 mod late;
 mod limits;
 mod overload;
+mod overload_hour;
 mod restarts;
 mod service_goals;
 mod services;
--- a/crates/dapplecroft-controller/tests/stories/overload.rs
+++ b/crates/dapplecroft-controller/tests/stories/overload.rs
@@ -36,6 +36,8 @@
     pub cluster: Arc<Cluster>,
     pub told: Arc<Mutex<Told>>,
     users: Mutex<Vec<JoinHandle<()>>>,
+    /// The name of a team.
+    team: String,
 }
 
 /// Operators' settings with a limit of so many processor-seconds.
@@ -122,8 +124,9 @@
         next: Value,
         prepare: impl FnOnce(&Cluster),
     ) -> Overload {
+        let team = next["teams"][0]["name"].as_str().unwrap().to_string();
         let cluster = Cluster::of(nodes, machines, |_| {}, options, next, prepare).await;
-        Overload { cluster: Arc::new(cluster), told: Arc::default(), users: Mutex::default() }
+        Overload { cluster: Arc::new(cluster), told: Arc::default(), users: Mutex::default(), team }
     }
 
     /// Waits until credit is demanded.
@@ -189,18 +192,20 @@
         verdict
     }
 
-    /// All accepted work ends, and nearly all of the limit can be accepted again.
+    /// All accepted work ends; then nearly all of the limit can be accepted again.
     pub async fn check_recovered(&self) -> Verdict {
         self.until_users_are_gone().await;
         let jobs: Vec<String> = self.told.lock().unwrap().accepted.keys().cloned().collect();
         for id in &jobs {
             self.cluster.until_stage(id, "done").await;
         }
-        let enough = || {
-            let verdict = credit_checker::check(&self.cluster.state);
-            verdict.outstanding == 0 && verdict.credit * 4 >= verdict.limit
-        };
-        self.cluster.until("credit is out again", enough).await;
+        let rested = || credit_checker::check(&self.cluster.state).outstanding == 0;
+        self.cluster.until("all work is over", rested).await;
+        let before = credit_checker::check(&self.cluster.state);
+        let enough = Duration::from_millis(20) * u32::try_from(2 * before.limit / TASK).unwrap();
+        self.flood(900, &self.team, Duration::from_millis(20), enough).await;
+        let full = || credit_checker::check(&self.cluster.state).last_full > before.revision;
+        self.cluster.until("nearly all of the limit is in use again", full).await;
         self.check()
     }
 }
