Credit is granted in whole jobs; a team that has waited long gets one

Pieces of credit smaller than a job lay at several controllers. Change: grants are rounded up to whole jobs in the order of need; a team that wants something and was granted nothing for 25 s gets a job. The order in which waiting jobs are served is a module of its own.

--- a/crates/dapplecroft-admission/src/planner.rs
+++ b/crates/dapplecroft-admission/src/planner.rs
@@ -18,6 +18,7 @@
 mod idle;
 mod pages;
 mod saving;
+mod waiting;
 
 /// The policy's limit is changed only by more than this part of it, so that machines
 /// that come and go do not cost a change each.
@@ -100,6 +101,7 @@
 pub struct Planner {
     idle: idle::IdleWatch,
     savings: saving::Savings,
+    waiting: waiting::WaitingTeams,
 }
 
 fn as_units(work: f64) -> u64 {
@@ -193,13 +195,26 @@
         let unspent = unspent_by_bucket(ledger);
         let wants = wanted_by_bucket(demand, &unspent, &self.savings.missing());
         let holdings = Holdings::new(ledger, &unspent, input.wall);
-        let teams: Vec<&str> = distinct_teams(&wants);
-        let shares = team_shares(&teams, &wants, &holdings, input.admission, policy.limit, room);
+        let mut teams: Vec<&str> = distinct_teams(&wants);
+        let level = |team: &&str| holdings.level_of_team(team) / share_of(input.admission, team).weight;
+        teams.sort_by(|a, b| level(a).total_cmp(&level(b)));
+        self.waiting.keep(&teams, input.now);
+        // Who has waited long first, then the lowest level: shares are rounded up to whole
+        // jobs while there is room.
+        teams.sort_by_key(|team| !self.waiting.is_long(team, input.now));
+        let floors = Floors { limit: policy.limit, waiting: &self.waiting, now: input.now };
+        let shares = team_shares(&teams, &wants, &holdings, input.admission, &floors, room);
+        let mut left = room;
         for (team, granted) in teams.into_iter().zip(shares) {
-            let small = granted - self.savings.save(team, granted);
+            let saved = self.savings.save(team, granted.min(left as f64));
+            left = left.saturating_sub(as_units(saved.ceil()));
             let share = share_of(input.admission, team);
-            for (bucket, work) in class_shares(team, &wants, &holdings, &share, small) {
-                spread(ledger, input, &bucket, &demand[&bucket], work, grants);
+            let before = left;
+            for (bucket, work) in class_shares(team, &wants, &holdings, &share, granted - saved) {
+                left -= spread(ledger, input, &bucket, &demand[&bucket], work, left, grants);
+            }
+            if left < before {
+                self.waiting.served(team, input.now);
             }
         }
         self.savings.reserve(ledger, policy, input)
@@ -324,27 +339,44 @@
     admission.teams.get(team).cloned().unwrap_or(default)
 }
 
+/// What teams have whatever their level.
+struct Floors<'a> {
+    limit: u64,
+    waiting: &'a waiting::WaitingTeams,
+    now: Instant,
+}
+
+impl Floors<'_> {
+    /// What is missing of a team's floor, of which it holds a part. One that has waited
+    /// long gets a little, which is rounded up to a job.
+    fn missing(&self, team: &str, part: f64, held: f64, wanted: f64) -> f64 {
+        let least = if self.waiting.is_long(team, self.now) { 1.0 } else { 0.0 };
+        (part * self.limit as f64 - held).max(least).min(wanted)
+    }
+}
+
 /// What each team gets of the room: first what is missing of its floor, then by level.
 fn team_shares(
     teams: &[&str],
     wants: &BTreeMap<Bucket, f64>,
     holdings: &Holdings,
     admission: &Admission,
-    limit: u64,
+    floors: &Floors,
     room: u64,
 ) -> Vec<f64> {
     let wanted = |team: &str| {
         let own = wants.iter().filter(|(bucket, _)| bucket.team() == team);
         own.map(|(_, work)| work).sum::<f64>()
     };
-    let floors: Vec<Claim> = teams
+    let missing: Vec<Claim> = teams
         .iter()
         .map(|team| {
-            let missing = share_of(admission, team).floor * limit as f64 - holdings.of_team(team);
-            Claim { weight: 1.0, held: 0.0, wanted: missing.clamp(0.0, wanted(team)) }
+            let part = share_of(admission, team).floor;
+            let wanted = floors.missing(team, part, holdings.of_team(team), wanted(team));
+            Claim { weight: 1.0, held: 0.0, wanted }
         })
         .collect();
-    let first = share(room as f64, &floors);
+    let first = share(room as f64, &missing);
     let left = room as f64 - first.iter().sum::<f64>();
     let claims: Vec<Claim> = teams
         .iter()
@@ -389,30 +421,22 @@
 }
 
 /// Divides a bucket's grant among the controllers that were asked, in pieces that take a
-/// job each.
+/// job each: less than a job's charge at each of several controllers would be of no use to
+/// anybody. Returns how much was given, at most `room`.
 fn spread(
     ledger: &Ledger,
     input: &PlannerInput,
     bucket: &Bucket,
     demand: &BucketDemand,
     work: f64,
+    room: u64,
     grants: &mut Grants,
-) {
+) -> u64 {
+    let piece = demand.sketch.work().div_ceil(demand.sketch.count().max(1)).max(1);
+    let mut left = as_units(work).div_ceil(piece).saturating_mul(piece).min(room);
     let asked: Vec<&ControllerView> =
         input.controllers.iter().filter(|controller| controller.demand.contains_key(bucket)).collect();
     let unspent = |host: &str| ledger.unspent(host).get(bucket).copied().unwrap_or(0);
-    let piece = (demand.sketch.work() / demand.sketch.count().max(1)).max(1) as f64;
-    let mut give = |host: &str, work: f64| {
-        if as_units(work) > 0 {
-            *grants.entry(host.to_string()).or_default().entry(bucket.clone()).or_default() += as_units(work);
-        }
-    };
-    if work < piece * asked.len() as f64 {
-        // Too little for a job each: the one with the least gets all of it.
-        let least = asked.iter().min_by_key(|controller| unspent(&controller.host));
-        least.into_iter().for_each(|controller| give(&controller.host, work));
-        return;
-    }
     let claims: Vec<Claim> = asked
         .iter()
         .map(|controller| Claim {
@@ -421,9 +445,31 @@
             wanted: controller.demand[bucket].sketch.work() as f64,
         })
         .collect();
-    for (controller, work) in asked.iter().zip(share(work, &claims)) {
-        give(&controller.host, work);
+    // What a controller has, up to whole pieces.
+    let mut given: Vec<(u64, u64, &str)> = asked
+        .iter()
+        .zip(share(left as f64, &claims))
+        .map(|(controller, work)| {
+            let held = unspent(&controller.host);
+            let whole = (held + as_units(work)) / piece * piece;
+            (held, whole.saturating_sub(held), controller.host.as_str())
+        })
+        .collect();
+    left -= given.iter().map(|(_, more, _)| more).sum::<u64>();
+    // The rest goes where the least is missing for another one.
+    let missing = |held: u64, more: u64| piece - (held + more) % piece;
+    given.sort_by_key(|(held, more, _)| missing(*held, *more));
+    for (held, more, _) in &mut given {
+        let next = missing(*held, *more);
+        if next <= left {
+            left -= next;
+            *more += next;
+        }
+    }
+    for (_, more, host) in given.iter().filter(|(_, more, _)| *more > 0) {
+        *grants.entry(host.to_string()).or_default().entry(bucket.clone()).or_default() += more;
     }
+    given.iter().map(|(_, more, _)| more).sum()
 }
 
 /// While nothing is refused, each controller has credit that any job may draw on.
--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -22,6 +22,7 @@
 mod offers;
 mod placing;
 mod roles;
+mod serving_order;
 mod session;
 mod shard_sync;
 mod shards;
