Review, case 2: accepted jobs are left waiting after a burst of submissions

Cause: every transaction is charged to the write budget, which falls without bound; what the state service refused with 429 isn't paid back, and users' updates don't wait for the budget. All else does.

Nothing outside review/.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,6 +1,7 @@
 //! The tests of the review's cases; `review/N/run.sh` starts one.
 
 mod case1;
+mod case2;
 mod proxy;
 mod users;
 mod world;
@@ -12,6 +13,7 @@
     let code = runtime.block_on(async {
         match case.as_str() {
             "1" => case1::run(trouble).await,
+            "2" => case2::run(trouble).await,
             _ => 2,
         }
     });
