Review, case 3: a controller answers its users with 503 for good

Cause: a forwarded request that its sender gives up is dropped at its await, and the count of active requests is not taken back; 256 lost ones close the controller to all users.

Nothing outside review/.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -2,6 +2,7 @@
 
 mod case1;
 mod case2;
+mod case3;
 mod proxy;
 mod users;
 mod world;
@@ -14,6 +15,7 @@
         match case.as_str() {
             "1" => case1::run(trouble).await,
             "2" => case2::run(trouble).await,
+            "3" => case3::run(trouble).await,
             _ => 2,
         }
     });
