--- a/review/standins-2/src/controllers.rs
+++ b/review/standins-2/src/controllers.rs
@@ -9,6 +9,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -29,10 +30,16 @@
     starts: usize,
 }
 
-/// A port that is free now.
+/// A port that is free now, below those that the system gives to outgoing connections.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let n = NEXT.fetch_add(1, Ordering::Relaxed).wrapping_add(std::process::id().wrapping_mul(37));
+        let address = SocketAddr::from(([127, 0, 0, 1], 10_000 + (n % 20_000) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Controllers {
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,6 +3,7 @@
 //! usage: standins-2 CASE REPOSITORY CASE-FOLDER TEMPORARY-FOLDER
 
 mod controllers;
+mod failed_once;
 mod http_io;
 mod late_copy;
 mod platform;
@@ -18,6 +19,7 @@
 async fn play(world: &Arc<World>, case: &str, root: PathBuf, folder: PathBuf, trouble: bool) -> Result<(), Failed> {
     let mut all = Controllers::start_all(world, &root, &folder, 6).await?;
     match case {
+        "failed-once" => failed_once::run(world, &mut all, trouble).await?,
         "late-copy" => late_copy::run(world, &mut all, trouble).await?,
         "resets" => resets::run(world, &mut all, trouble).await?,
         _ => return Err(format!("no case {case}")),
--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -88,6 +88,12 @@
         on.iter().filter(|((s, _), _)| s == share).map(|((_, m), attempt)| (m.clone(), *attempt)).collect()
     }
 
+    /// Machines that are up, each with the CPUs that no task takes there.
+    pub fn free_cpus(&self) -> Vec<(String, f64)> {
+        let workers = self.workers.lock().unwrap();
+        workers.iter().map(|(name, worker)| (name.clone(), worker.free_cpus())).collect()
+    }
+
     fn started(&self, share: &str, attempt: u64, machine: &str) {
         let others = self.machines_of(share);
         self.record.log(format!("RUN    {share} try {attempt} starts on {machine}"));
@@ -309,6 +315,15 @@
         self.inner.lock().unwrap().tasks.contains_key(&(share.into(), attempt))
     }
 
+    /// CPUs that no task takes.
+    fn free_cpus(&self) -> f64 {
+        let inner = self.inner.lock().unwrap();
+        let jobs = self.world.jobs.lock().unwrap();
+        let here = inner.tasks.iter().filter(|(_, t)| t.stage != "exited");
+        let cpus = |share: &str| jobs.get(share.split('/').next()?).map(|j| j.cpus);
+        MACHINE_CPUS - here.filter_map(|((share, _), _)| cpus(share)).sum::<f64>()
+    }
+
     fn destroy(&self) {
         let mut inner = self.inner.lock().unwrap();
         inner.destroyed = true;
