--- a/review/standins-2/src/controllers.rs
+++ b/review/standins-2/src/controllers.rs
@@ -1,8 +1,8 @@
 //! The project's own program, started as the deploy file says, one process a controller.
 
-use crate::proxy::{self, Link};
-use crate::platform::{Cloud, LEASE, LIST_LAG, REPORT, StateService, World};
 use crate::http_io::{Answer, call, serve};
+use crate::platform::{Cloud, LEASE, LIST_LAG, REPORT, StateService, UploadedJob, World};
+use crate::proxy::{self, Link};
 use serde_json::{Value, json};
 use std::fs::File;
 use std::net::{SocketAddr, TcpListener};
@@ -21,6 +21,7 @@
 
 pub struct Controllers {
     pub world: Arc<World>,
+    pub cloud: Arc<Cloud>,
     /// Each controller's link to the network.
     pub links: Vec<Arc<Link>>,
     run: Vec<String>,
@@ -44,9 +45,15 @@
 
 impl Controllers {
     /// Starts the platform's stand-ins and all controllers, and waits until these are in service.
-    pub async fn start_all(world: &Arc<World>, root: &Path, folder: &Path, machines: usize) -> Result<Controllers, Failed> {
+    pub async fn start_all(
+        world: &Arc<World>,
+        root: &Path,
+        folder: &Path,
+        machines: usize,
+    ) -> Result<Controllers, Failed> {
         let state = serve(Arc::new(StateService(world.clone()))).await;
-        let cloud = serve(Cloud::new(world, machines)).await;
+        let the_cloud = Cloud::new(world, machines);
+        let cloud = serve(the_cloud.clone()).await;
         let listen: Vec<SocketAddr> = (0..CONTROLLERS).map(|_| free_address()).collect();
         let back: Vec<SocketAddr> = (0..CONTROLLERS).map(|_| free_address()).collect();
         let host = |n: usize| format!("crofter-{n}");
@@ -57,15 +64,15 @@
             let mut members: Vec<Value> = Vec::new();
             for m in (0..CONTROLLERS).filter(|m| *m != n) {
                 let endpoint = proxy::open(back[m], vec![links[n].clone(), links[m].clone()]).await;
-                members.push(json!({"host_name": host(m), "domain": "z", "endpoint": endpoint.to_string()}));
+                members.push(json!({"host_name": host(m), "domain": "a", "endpoint": endpoint.to_string()}));
             }
             let state = proxy::open(state, vec![links[n].clone()]).await;
             let cloud = proxy::open(cloud, vec![links[n].clone()]).await;
             let settings = json!({
-                "host_name": host(n), "domain": "z", "listen": listen[n].to_string(), "back": back[n].to_string(),
+                "host_name": host(n), "domain": "a", "listen": listen[n].to_string(), "back": back[n].to_string(),
                 "members": members,
                 "external": {"cloud": cloud.to_string(), "state": state.to_string()},
-                "facts": {"nodes": CONTROLLERS, "zones": ["z"],
+                "facts": {"nodes": CONTROLLERS, "zones": ["a", "b"],
                     "teams": [{"name": "routing", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}],
                     "objectives": [],
                     "workers": {"report_s": REPORT.as_secs_f64(), "lease_s": LEASE.as_secs_f64(),
@@ -84,6 +91,7 @@
         let run = run.ok_or("no run line in deploy/service.toml")?.split(' ').map(str::to_string).collect();
         let mut all = Controllers {
             world: world.clone(),
+            cloud: the_cloud,
             links,
             run,
             root: root.into(),
@@ -148,11 +156,25 @@
     }
 
     /// Submits a job, with retries as a user would make them; also uploads its description.
-    pub async fn submit(&self, id: &str, tasks: u32, job: crate::platform::UploadedJob) -> Result<(), Failed> {
-        let body = json!({"id": id, "lane": "roster-build", "crew": "routing", "form": "sweep", "rank": "normal",
+    pub async fn submit(&self, id: &str, tasks: u32, job: UploadedJob) -> Result<(), Failed> {
+        self.submit_as(id, tasks, job, json!({})).await
+    }
+
+    /// Like `submit`, with some fields of the submission changed.
+    pub async fn submit_as(
+        &self,
+        id: &str,
+        tasks: u32,
+        job: UploadedJob,
+        fields: Value,
+    ) -> Result<(), Failed> {
+        let mut body = json!({"id": id, "lane": "roster-build", "crew": "routing", "form": "sweep", "rank": "normal",
             "shares": tasks, "cpus": job.cpus, "gpus": 0.0, "memory_gb": 1.0, "bundle": "img", "image_gb": 0.5,
             "hulls": null, "yard": null, "same_place": false, "apart": false, "loaners": false,
             "reckon_s": job.run.as_secs_f64(), "mark_s": 0.0, "stow_s": 0.0, "due_s": null});
+        for (name, value) in fields.as_object().into_iter().flatten() {
+            body[name] = value.clone();
+        }
         self.world.jobs.lock().unwrap().insert(id.into(), job);
         for attempt in 0..20 {
             let answer = self.call(attempt % CONTROLLERS, "POST", "/v2/runs", &body.to_string()).await;
@@ -167,7 +189,12 @@
     }
 
     /// Waits for something that has to happen before the case can go on.
-    pub async fn until<F: Future<Output = bool>>(&self, what: &str, seconds: u64, mut ready: impl FnMut() -> F) -> Result<(), Failed> {
+    pub async fn until<F: Future<Output = bool>>(
+        &self,
+        what: &str,
+        seconds: u64,
+        mut ready: impl FnMut() -> F,
+    ) -> Result<(), Failed> {
         for _ in 0..seconds * 5 {
             if ready().await {
                 return Ok(());
--- a/review/standins-2/src/failed_once.rs
+++ b/review/standins-2/src/failed_once.rs
@@ -17,7 +17,8 @@
     // A job of one task, which needs 5 s.
     let job = UploadedJob { cpus: 1.0, run: Duration::from_secs(5), first_run_fails: trouble };
     all.submit("run-000002", 1, job).await?;
-    all.until("the task is on a machine", 20, || async { !world.machines_of("run-000002/0").is_empty() }).await?;
+    all.until("the task is on a machine", 20, || async { !world.machines_of("run-000002/0").is_empty() })
+        .await?;
     all.until("the task has left it", 20, || async { world.machines_of("run-000002/0").is_empty() }).await?;
     let left = Instant::now();
     world.record.log("CASE   the task has left its machine");
@@ -38,7 +39,10 @@
     for (name, free) in world.free_cpus() {
         world.record.log(format!("CASE   {name} is up and has room for {free} CPUs"));
         if free >= 1.0 {
-            let text = format!("left waiting: run-000002 waits for {:.0} s while {name} has room", left.elapsed().as_secs_f64());
+            let text = format!(
+                "left waiting: run-000002 waits for {:.0} s while {name} has room",
+                left.elapsed().as_secs_f64()
+            );
             world.record.log(format!("BROKEN {text}"));
             world.broken.lock().unwrap().push(text);
         }
--- a/review/standins-2/src/http_io.rs
+++ b/review/standins-2/src/http_io.rs
@@ -82,7 +82,13 @@
 }
 
 /// One request on a connection of its own; `None` if no answer came in time.
-pub async fn call(address: SocketAddr, method: &str, path: &str, body: &str, wait: Duration) -> Option<Answer> {
+pub async fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+    wait: Duration,
+) -> Option<Answer> {
     let request = async {
         let stream = connect(address).await.ok()?;
         exchange(&stream, method, path, body).await.ok()
--- a/review/standins-2/src/late_copy.rs
+++ b/review/standins-2/src/late_copy.rs
@@ -35,7 +35,10 @@
         })
         .await?;
         let workers: Vec<_> = world.workers.lock().unwrap().values().cloned().collect();
-        all.until("the first attempt is cleared", 15, || async { workers.iter().all(|w| !w.lists(&share, 1)) }).await?;
+        all.until("the first attempt is cleared", 15, || async {
+            workers.iter().all(|w| !w.lists(&share, 1))
+        })
+        .await?;
         let second = world.machines_of(&share).into_iter().next().map(|(m, _)| m).unwrap_or_default();
         found = workers.into_iter().find_map(|worker| {
             let sent = worker.commands.lock().unwrap().iter().find(|m| starts(m, &share, 1)).cloned()?;
@@ -48,13 +51,20 @@
     let Some((worker, message, share)) = found else {
         return Err("no start was sent to a worker's own address".into());
     };
-    world.record.log(format!("CASE   {share} failed on {}, was cleared there and runs on {:?}", worker.machine, world.machines_of(&share)));
+    world.record.log(format!(
+        "CASE   {share} failed on {}, was cleared there and runs on {:?}",
+        worker.machine,
+        world.machines_of(&share)
+    ));
     if trouble {
         let holder = worker.node();
         all.kill(holder);
         sleep(Duration::from_secs(1)).await;
         let address = worker.address.lock().unwrap().ok_or("no address")?;
-        world.record.log(format!("COPY   of an old message of crofter-{holder} arrives at {}: {message}", worker.machine));
+        world.record.log(format!(
+            "COPY   of an old message of crofter-{holder} arrives at {}: {message}",
+            worker.machine
+        ));
         let answer = call(address, "POST", "/do", &message, Duration::from_secs(4)).await;
         world.record.log(format!("COPY   answered {:?}", answer.map(|a| a.status)));
         sleep(BACK_AFTER - Duration::from_secs(1)).await;
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod failed_once;
 mod http_io;
 mod late_copy;
+mod one_zone;
 mod platform;
 mod proxy;
 mod resets;
@@ -16,11 +17,18 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-async fn play(world: &Arc<World>, case: &str, root: PathBuf, folder: PathBuf, trouble: bool) -> Result<(), Failed> {
+async fn play(
+    world: &Arc<World>,
+    case: &str,
+    root: PathBuf,
+    folder: PathBuf,
+    trouble: bool,
+) -> Result<(), Failed> {
     let mut all = Controllers::start_all(world, &root, &folder, 6).await?;
     match case {
         "failed-once" => failed_once::run(world, &mut all, trouble).await?,
         "late-copy" => late_copy::run(world, &mut all, trouble).await?,
+        "one-zone" => one_zone::run(world, &mut all, trouble).await?,
         "resets" => resets::run(world, &mut all, trouble).await?,
         _ => return Err(format!("no case {case}")),
     }
@@ -42,7 +50,9 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     let played = runtime.block_on(async {
         let world = World::new(&PathBuf::from(case_folder).join("record.txt"));
-        world.record.log(format!("CASE   {case}, {}", if trouble { "with the disruption" } else { "without it" }));
+        world
+            .record
+            .log(format!("CASE   {case}, {}", if trouble { "with the disruption" } else { "without it" }));
         let played = play(&world, case, root.into(), folder.into(), trouble).await;
         let broken = world.broken.lock().unwrap().clone();
         let verdict = match &played {
--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -130,12 +130,13 @@
 
 struct Rented {
     spot: bool,
+    zone: String,
     at: Instant,
     gone: Option<Instant>,
     address: Option<SocketAddr>,
 }
 
-/// The cloud: one machine type `m` in one zone `z`.
+/// The cloud: one machine type `m`.
 pub struct Cloud {
     world: Arc<World>,
     capacity: usize,
@@ -168,23 +169,25 @@
         if count == 0 {
             return (503, json!({"error": "no capacity"}).to_string());
         }
-        let spot = request["loaners"] == true;
+        let (spot, zone) = (request["loaners"] == true, request["yard"].as_str().unwrap_or_default());
         let mut names = Vec::new();
         for _ in 0..count {
             let name = format!("i-{:06}", machines.len() + 1);
-            machines.insert(name.clone(), Rented { spot, at: Instant::now(), gone: None, address: None });
-            let (cloud, machine) = (self.this.upgrade().expect("the cloud lives"), name.clone());
-            tokio::spawn(async move { cloud.boot(machine, spot).await });
+            let rented = Rented { spot, zone: zone.into(), at: Instant::now(), gone: None, address: None };
+            machines.insert(name.clone(), rented);
+            let cloud = self.this.upgrade().expect("the cloud lives");
+            let (machine, zone) = (name.clone(), zone.to_string());
+            tokio::spawn(async move { cloud.boot(machine, spot, zone).await });
             names.push(name);
         }
-        self.world.record.log(format!("CLOUD  {charter} rents {names:?}"));
+        self.world.record.log(format!("CLOUD  {charter} rents {names:?} in zone {zone}"));
         self.charters.lock().unwrap().insert(charter.into(), names.clone());
         (200, json!({"holdings": names}).to_string())
     }
 
-    async fn boot(&self, name: String, spot: bool) {
+    async fn boot(&self, name: String, spot: bool, zone: String) {
         sleep(BOOT).await;
-        let worker = Worker::new(&self.world, &name, spot);
+        let worker = Worker::new(&self.world, &name, spot, zone);
         let address = serve(Arc::new(WorkerPort(worker.clone()))).await;
         *worker.address.lock().unwrap() = Some(address);
         {
@@ -210,6 +213,17 @@
         (200, "{}".into())
     }
 
+    /// Takes a machine with all that is on it, with no notice.
+    pub fn take(&self, name: &str) {
+        if let Some(machine) = self.machines.lock().unwrap().get_mut(name) {
+            machine.gone.get_or_insert(Instant::now());
+        }
+        if let Some(worker) = self.world.workers.lock().unwrap().remove(name) {
+            worker.destroy();
+        }
+        self.world.record.log(format!("CLOUD  {name} is taken"));
+    }
+
     fn list(&self, path: &str) -> (u16, String) {
         let query = |name: &str| {
             let (_, query) = path.split_once('?')?;
@@ -227,7 +241,7 @@
             .map(|(name, m)| {
                 let stage = if m.address.is_some() { "running" } else { "starting" };
                 json!({"id": name, "address": m.address.map(|a| a.to_string()).unwrap_or_default(), "hull": "m",
-                    "yard": "z", "loaners": m.spot, "stage": stage, "held_s": (at - m.at).as_secs_f64()})
+                    "yard": m.zone, "loaners": m.spot, "stage": stage, "held_s": (at - m.at).as_secs_f64()})
             })
             .collect();
         let truncated = listed.len() > limit;
@@ -243,7 +257,7 @@
             "/catalog" => (
                 200,
                 json!({"hulls": [{"name": "m", "cpus": MACHINE_CPUS, "gpus": 0, "memory_gb": 64.0, "local_gb": 50,
-                    "pull_gb_per_s": 1.0, "price": 1.0, "market_price": 0.3, "boot_s": 2, "yards": ["z"]}]})
+                    "pull_gb_per_s": 1.0, "price": 1.0, "market_price": 0.3, "boot_s": 2, "yards": ["a", "b"]}]})
                 .to_string(),
             ),
             "/rentals" => self.rent(&request),
@@ -275,6 +289,7 @@
     world: Arc<World>,
     pub machine: String,
     spot: bool,
+    pub zone: String,
     pub address: Mutex<Option<SocketAddr>>,
     inner: Mutex<Inner>,
     changed: Notify,
@@ -284,11 +299,12 @@
 }
 
 impl Worker {
-    fn new(world: &Arc<World>, machine: &str, spot: bool) -> Arc<Worker> {
+    fn new(world: &Arc<World>, machine: &str, spot: bool, zone: String) -> Arc<Worker> {
         Arc::new_cyclic(|this| Worker {
             world: world.clone(),
             machine: machine.into(),
             spot,
+            zone: zone.clone(),
             address: Mutex::default(),
             inner: Mutex::new(Inner {
                 tenure: 1,
@@ -356,7 +372,7 @@
             .map(|((share, attempt), t)| json!({"share": share, "try": attempt, "stage": t.stage, "cause": t.cause}))
             .collect();
         let address = self.address.lock().unwrap().expect("the worker listens").to_string();
-        json!({"holding": self.machine, "address": address, "hull": "m", "yard": "z", "loaners": self.spot,
+        json!({"holding": self.machine, "address": address, "hull": "m", "yard": self.zone, "loaners": self.spot,
             "tenure": inner.tenure, "tally": inner.tally, "warrant": inner.warrant, "recall_s": null,
             "shares": shares})
     }
--- a/review/standins-2/src/resets.rs
+++ b/review/standins-2/src/resets.rs
@@ -56,7 +56,9 @@
             if healthy && bad >= 2 || !healthy && good >= 2 && since.elapsed() >= Duration::from_secs(3) {
                 node.healthy.store(!healthy, Ordering::Relaxed);
                 since = Instant::now();
-                self.world.record.log(format!("LB     crofter-{n} is {}", if healthy { "unhealthy" } else { "healthy" }));
+                self.world
+                    .record
+                    .log(format!("LB     crofter-{n} is {}", if healthy { "unhealthy" } else { "healthy" }));
             }
             sleep(Duration::from_secs(1).saturating_sub(started.elapsed())).await;
         }
@@ -118,7 +120,11 @@
 }
 
 pub async fn run(world: &Arc<World>, all: &mut Controllers, trouble: bool) -> Result<(), Failed> {
-    let nodes = (0..CONTROLLERS).map(|n| Node { address: all.address(n), open: AtomicUsize::new(0), healthy: AtomicBool::new(true) });
+    let nodes = (0..CONTROLLERS).map(|n| Node {
+        address: all.address(n),
+        open: AtomicUsize::new(0),
+        healthy: AtomicBool::new(true),
+    });
     let balancer = Arc::new(LoadBalancer { nodes: nodes.collect(), world: world.clone() });
     (0..CONTROLLERS).for_each(|n| drop(tokio::spawn(balancer.clone().probe(n))));
     let jobs: Vec<String> = (1..=LATER_USERS).map(|n| format!("run-{n:06}")).collect();
@@ -161,7 +167,9 @@
     if trouble {
         all.links[cut].cut(false);
         world.state.slow("controller", Duration::ZERO);
-        world.record.log(format!("NET    crofter-{cut} has the network again, and the state service answers quickly"));
+        world.record.log(format!(
+            "NET    crofter-{cut} has the network again, and the state service answers quickly"
+        ));
     }
     // The trouble is over. Users who submitted jobs come back and ask about them.
     all.until("all controllers are in service", 10, || async {
@@ -183,7 +191,11 @@
         let count = |status: u16| own.iter().filter(|p| p.status == status).count();
         world.record.log(format!(
             "CASE   crofter-{n}: {} polls since then; 200: {}, 404: {}, 503: {}, no response: {}",
-            own.len(), count(200), count(404), count(503), count(0)
+            own.len(),
+            count(200),
+            count(404),
+            count(503),
+            count(0)
         ));
     }
     for id in &jobs {
@@ -193,7 +205,10 @@
         let spell = own.last().map_or(Duration::ZERO, |p| p.at - own[0].at);
         let most = others.iter().filter(|p| answered(p)).count() * 2 > others.len();
         if spell >= FORGOTTEN && most && own.iter().all(|p| !answered(p)) {
-            let text = format!("forgotten: every poll for {id} failed for {:.1} s while most others were answered", spell.as_secs_f64());
+            let text = format!(
+                "forgotten: every poll for {id} failed for {:.1} s while most others were answered",
+                spell.as_secs_f64()
+            );
             world.record.log(format!("BROKEN {text}"));
             world.broken.lock().unwrap().push(text);
         }
