--- a/crates/dapplecroft-controller/src/core/mod.rs
+++ b/crates/dapplecroft-controller/src/core/mod.rs
@@ -29,6 +29,7 @@
 #[cfg(test)]
 mod testing;
 mod updates;
+mod worker_commands;
 
 pub use capacity_usage::CapacityUsage;
 pub use commit::{CommitOutcome, CommitTarget, PendingCommit};
@@ -36,8 +37,9 @@
 pub use federation::{IncomingTransfer, NotAway, OfferUpdate, OutgoingTransfer, TransferPlan};
 pub use fleet::{FleetActions, MAX_CONSULTED_MACHINES};
 pub use groups::GroupUpdate;
-pub use session::{CommandOutcome, HeartbeatOutcome};
+pub use session::HeartbeatOutcome;
 pub use shards::{LeaseGrant, ShardLease};
+pub use worker_commands::CommandOutcome;
 
 use crate::jobs::{Job, OpenJob, Placement, TaskId};
 use crate::machines::Machine;
--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -1,18 +1,13 @@
-//! Worker sessions: what heartbeats prove about tasks, and which commands the shard holder sends in return.
+//! Worker sessions: what heartbeats prove about tasks, and how they are answered.
 
 use super::Core;
 use crate::jobs::{Job, StopReason, TaskExit, TaskId};
 use crate::machines::Machine;
-use dapplecroft_wire::workers::{
-    Command, DirectCommands, ExitReason, Heartbeat, HeartbeatHead, HeartbeatReply, TaskState,
-};
+use dapplecroft_wire::workers::{ExitReason, Heartbeat, HeartbeatHead, HeartbeatReply, TaskState};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Maximum number of commands in one message, so that a message stays far below the maximum line length.
-const MAX_COMMANDS_PER_MESSAGE: usize = 200;
-
 /// A service replica that ran at least this long counts as started successfully: its exit resets the
 /// job's failure count.
 const STABLE_REPLICA_RUN: Duration = Duration::from_secs(30);
@@ -354,163 +349,4 @@
             }
         }
     }
-
-    /// Commands that bring a machine from what it last reported to what the records ask of it. `clear` is
-    /// only sent in the reply to a heartbeat (`in_reply`): a delayed `start` of the same attempt must
-    /// not arrive after the `clear`.
-    fn pending_commands(&self, id: &str, in_reply: bool, now: Instant) -> Vec<Command> {
-        let Some(machine) = self.machines.get(id) else { return Vec::new() };
-        let Some(shard_lease) = self.role.leased_shards.get(&machine.shard).copied() else {
-            return Vec::new();
-        };
-        let synced = machine.is_synced(shard_lease.epoch);
-        let mut commands = Vec::new();
-        for (task, status) in &machine.reported {
-            let committed = self
-                .open_job(&task.job)
-                .and_then(|j| j.placed.get(&task.index))
-                .filter(|p| p.committed && *p.machine == *id && p.attempt == status.attempt);
-            match (committed, status.state) {
-                (None, TaskState::Exited) if in_reply && synced && !machine.command_in_flight => {
-                    commands.push(Command::Clear { task: status.task.clone(), attempt: status.attempt });
-                }
-                (None, TaskState::Exited) => {}
-                (None, _) => commands.push(Command::Kill {
-                    task: status.task.clone(),
-                    attempt: status.attempt,
-                    grace_s: 0.0,
-                }),
-                (Some(placed), state) if state != TaskState::Exited => {
-                    // A second `kill` would interrupt the task's checkpoint. Only a cancellation may do
-                    // that.
-                    let saves = state == TaskState::Saving;
-                    if let Some(stop) =
-                        placed.stop_reason.filter(|stop| !saves || *stop == StopReason::JobCancelled)
-                    {
-                        let grace =
-                            if stop == StopReason::JobCancelled { Duration::ZERO } else { placed.grace };
-                        commands.push(Command::Kill {
-                            task: status.task.clone(),
-                            attempt: status.attempt,
-                            grace_s: grace.as_secs_f64(),
-                        });
-                    }
-                }
-                _ => {}
-            }
-        }
-        // A controller that has been out of contact with the state service for longer than this may have
-        // missed cancellations that were already confirmed to users. It keeps answering its workers, but it
-        // starts no tasks.
-        let may_start = self.contact_age(now).is_some_and(|age| age <= self.options.node_lease);
-        for task in machine.tasks.iter().filter(|_| may_start) {
-            let Some(job) = self.open_job(&task.job) else { continue };
-            let Some(placed) = job.placed.get(&task.index) else { continue };
-            let here = placed.committed && *placed.machine == *id && placed.session == machine.session;
-            // If the worker still lists an earlier attempt, that one must be cleared first.
-            let still_reported = machine.reported.contains_key(task);
-            if here
-                && placed.stop_reason.is_none()
-                && !still_reported
-                && !job.uncommitted_exits.contains_key(&task.index)
-            {
-                commands.push(Command::Start { task: task.to_string(), attempt: placed.attempt });
-            }
-        }
-        commands.truncate(MAX_COMMANDS_PER_MESSAGE);
-        commands
-    }
-
-    fn record_sent_commands(&mut self, id: &str, commands: &[Command], token: u64) {
-        for command in commands {
-            let Command::Start { task, .. } = command else { continue };
-            let Some(task) = TaskId::parse(task) else { continue };
-            let mut image = None;
-            if let Some(job) = self.open_job_mut(&task.job) {
-                image.clone_from(&job.requirements.image);
-                if let Some(placed) = job.placed.get_mut(&task.index) {
-                    placed.start_token = token;
-                }
-            }
-            if let (Some(image), Some(machine)) = (image, self.machines.get_mut(id)) {
-                machine.record_image(image, false);
-            }
-        }
-    }
-
-    /// Direct commands to send to a machine now, with its worker's address. `None` if there is nothing to
-    /// send, or the machine cannot be commanded yet.
-    pub fn next_direct_commands(&mut self, id: &str, now: Instant) -> Option<(String, DirectCommands)> {
-        let machine = self.machines.get(id)?;
-        let shard_lease = self.active_lease(machine.shard, now)?;
-        let cannot_receive = machine.session == 0 || machine.command_in_flight || machine.release_in_flight;
-        if cannot_receive || machine.commands_paused_until.is_some_and(|at| at > now) {
-            return None;
-        }
-        let commands = self.pending_commands(id, false, now);
-        let machine = self.machines.get_mut(id)?;
-        // A message without commands still brings the current token to the worker. Its next report then
-        // counts as proof of its tasks, and it can be given work sooner.
-        let token_outdated = !machine.is_synced(shard_lease.epoch);
-        if commands.is_empty() && !token_outdated {
-            return None;
-        }
-        let address = machine.address.clone()?;
-        machine.command_in_flight = true;
-        let (token, session) = (machine.token(shard_lease.epoch), machine.session);
-        self.record_sent_commands(id, &commands, token);
-        Some((address, DirectCommands { token, session, commands }))
-    }
-
-    /// Records the outcome of direct commands that were sent to a machine.
-    pub fn direct_commands_finished(
-        &mut self,
-        id: &str,
-        sent: &DirectCommands,
-        outcome: CommandOutcome<'_>,
-        now: Instant,
-    ) {
-        let Some(machine) = self.machines.get_mut(id) else { return };
-        let Some(shard_lease) = self.role.leased_shards.get(&machine.shard).copied() else { return };
-        if !machine.is_token_since_reset(sent.token, shard_lease.epoch) {
-            // The commands were sent before this process lost the shard or acquired it again.
-            return;
-        }
-        machine.command_in_flight = false;
-        match outcome {
-            CommandOutcome::Answered(heartbeat) => {
-                // The worker has seen a newer token and refused: whoever holds that token commands it.
-                machine.commands_paused_until =
-                    (heartbeat.token > sent.token).then(|| now + Duration::from_secs(1));
-                if heartbeat.machine == *id {
-                    self.apply_heartbeat(heartbeat, now);
-                }
-            }
-            CommandOutcome::NotDelivered => {
-                machine.commands_paused_until = Some(now + Duration::from_secs(1))
-            }
-            CommandOutcome::Unknown => {
-                // The worker may execute the commands much later, even after the task has moved or was
-                // cleared. A higher token makes them void.
-                machine.raise_token();
-                machine.commands_paused_until = Some(now + Duration::from_secs(1));
-                tracing::debug!(machine = id, "outcome of direct commands unknown; fencing token raised");
-            }
-        }
-        self.wakeups.command.insert(id.into());
-    }
 }
-
-/// Outcome of sending direct commands.
-#[derive(Debug, Clone, Copy)]
-pub enum CommandOutcome<'a> {
-    /// The worker answered with its report.
-    Answered(&'a Heartbeat),
-    /// The commands were certainly not delivered.
-    NotDelivered,
-    /// The commands may or may not have been delivered.
-    Unknown,
-}
-
-#[cfg(test)]
-mod tests;
--- a/crates/dapplecroft-controller/src/core/session/tests.rs
+++ b/crates/dapplecroft-controller/src/core/worker_commands/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::core::ShardLease;
 use crate::core::testing::{core, job_record, proposed_placement};
-use crate::jobs::Placement;
+use crate::jobs::{Job, Placement};
 use crate::records::SegmentId;
 use dapplecroft_wire::workers::TaskStatus;
 use serde_json::json;
