--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -1,6 +1,7 @@
 //! Worker sessions: what heartbeats prove about tasks, and how they are answered.
 
 use super::Core;
+use super::worker_commands::CommandChannel;
 use crate::jobs::{Job, StopReason, TaskExit, TaskId};
 use crate::machines::Machine;
 use dapplecroft_wire::workers::{ExitReason, Heartbeat, HeartbeatHead, HeartbeatReply, TaskState};
@@ -84,7 +85,7 @@
         // Only the worker's newest message gets commands; delayed or repeated ones get none.
         let newest = (machine.session, machine.sequence) == (heartbeat.session, heartbeat.sequence);
         let commands = if newest { self.pending_commands(id, true, now) } else { Vec::new() };
-        self.record_sent_commands(id, &commands, token);
+        self.record_sent_commands(id, &commands, token, CommandChannel::Reply);
         HeartbeatOutcome::Reply(HeartbeatReply { token, commands })
     }
 
--- a/crates/dapplecroft-controller/src/core/worker_commands.rs
+++ b/crates/dapplecroft-controller/src/core/worker_commands.rs
@@ -76,7 +76,16 @@
         commands
     }
 
-    pub(super) fn record_sent_commands(&mut self, id: &str, commands: &[Command], token: u64) {
+    pub(super) fn record_sent_commands(
+        &mut self,
+        id: &str,
+        commands: &[Command],
+        token: u64,
+        channel: CommandChannel,
+    ) {
+        if !commands.is_empty() {
+            tracing::debug!(machine = id, token, ?channel, ?commands, "commands sent");
+        }
         for command in commands {
             let Command::Start { task, .. } = command else { continue };
             let Some(task) = TaskId::parse(task) else { continue };
@@ -113,7 +122,7 @@
         let address = machine.address.clone()?;
         machine.command_in_flight = true;
         let (token, session) = (machine.token(shard_lease.epoch), machine.session);
-        self.record_sent_commands(id, &commands, token);
+        self.record_sent_commands(id, &commands, token, CommandChannel::Direct);
         Some((address, DirectCommands { token, session, commands }))
     }
 
@@ -156,6 +165,16 @@
     }
 }
 
+/// How commands reach a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CommandChannel {
+    /// In the reply to a heartbeat. The worker drops late replies, so these commands are never executed
+    /// late or twice.
+    Reply,
+    /// In a request of their own. Late copies of it are executed as long as token and session match.
+    Direct,
+}
+
 /// Outcome of sending direct commands.
 #[derive(Debug, Clone, Copy)]
 pub enum CommandOutcome<'a> {
