Put the fencing token of a worker into a type of its own

Machine kept the token's counter and what it was at the last reset among thirty other fields, and the rule which heartbeats prove something beside them.

--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -221,7 +221,7 @@
             }
         }
         if raise_token {
-            machine.raise_token();
+            machine.fencing.void_commands();
             self.wakeups.command.insert(id.clone());
         }
         for (task, attempt, why) in exits {
--- a/crates/dapplecroft-controller/src/core/worker_commands.rs
+++ b/crates/dapplecroft-controller/src/core/worker_commands.rs
@@ -136,7 +136,7 @@
     ) {
         let Some(machine) = self.machines.get_mut(id) else { return };
         let Some(shard_lease) = self.role.leased_shards.get(&machine.shard).copied() else { return };
-        if !machine.is_token_since_reset(sent.token, shard_lease.epoch) {
+        if !machine.fencing.is_token_since_reset(sent.token, shard_lease.epoch) {
             // The commands were sent before this process lost the shard or acquired it again.
             return;
         }
@@ -156,7 +156,7 @@
             CommandOutcome::Unknown => {
                 // The worker may execute the commands much later, even after the task has moved or was
                 // cleared. A higher token makes them void.
-                machine.raise_token();
+                machine.fencing.void_commands();
                 machine.commands_paused_until = Some(now + Duration::from_secs(1));
                 tracing::debug!(machine = id, "outcome of direct commands unknown; fencing token raised");
             }
--- a/crates/dapplecroft-controller/src/lib.rs
+++ b/crates/dapplecroft-controller/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission;
 pub mod cells;
 pub mod core;
+pub mod fencing;
 pub mod jobs;
 pub mod legacy;
 mod loops;
--- a/crates/dapplecroft-controller/src/machines.rs
+++ b/crates/dapplecroft-controller/src/machines.rs
@@ -1,6 +1,7 @@
 //! A controller's view of the machines: what the records and the workers'
 //! heartbeats say of them.
 
+use crate::fencing::WorkerFencing;
 use crate::jobs::TaskId;
 use dapplecroft_sched::Resources;
 use dapplecroft_wire::workers::TaskStatus;
@@ -8,11 +9,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Number of low bits of a fencing token that hold a counter, below the shard's epoch.
-/// The shard's holder raises the counter to get a higher token for one worker without
-/// a write to the state service.
-const COUNTER_BITS: u32 = 20;
-
 /// Whether a machine takes tasks or is to be released.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MachinePhase {
@@ -60,13 +56,8 @@
     pub sequence: u64,
     /// Highest fencing token that the worker reports to have seen.
     pub seen_token: u64,
-    /// Low part of the machine's fencing token. Raised when the outcome of a command is
-    /// unknown, and when the state of the worker is forgotten. Commands that were sent
-    /// before are then void, even if the same process continues in the same epoch.
-    pub token_counter: u64,
-    /// Value of `token_counter` when the state of the worker was last forgotten.
-    /// Outcomes of commands with a lower counter are ignored.
-    counter_at_reset: u64,
+    /// Fencing token of the worker, except for the shard's epoch.
+    pub fencing: WorkerFencing,
     /// When the cloud reclaims the machine, if it has announced that.
     pub reclaim_at: Option<Instant>,
     /// Tasks in the worker's newest heartbeat, with their status.
@@ -117,8 +108,7 @@
             session: 0,
             sequence: 0,
             seen_token: 0,
-            token_counter: 0,
-            counter_at_reset: 0,
+            fencing: WorkerFencing::default(),
             reclaim_at: None,
             reported: BTreeMap::new(),
             tasks: BTreeSet::new(),
@@ -139,25 +129,13 @@
     /// Current fencing token for commands to the machine's worker, in a given epoch of
     /// the shard's lease.
     pub fn token(&self, epoch: u64) -> u64 {
-        (epoch << COUNTER_BITS) | self.token_counter.min((1 << COUNTER_BITS) - 1)
+        self.fencing.token(epoch)
     }
 
     /// Whether the worker had accepted the current fencing token when it sent its newest
     /// heartbeat. Only then does the heartbeat prove which tasks run on the machine.
     pub fn is_synced(&self, epoch: u64) -> bool {
-        self.session > 0 && self.seen_token == self.token(epoch)
-    }
-
-    /// Raises the fencing token, which voids all commands sent so far once the worker has
-    /// seen the new token.
-    pub fn raise_token(&mut self) {
-        self.token_counter += 1;
-    }
-
-    /// Whether `token` was issued in this epoch after this process last forgot the state
-    /// of the worker.
-    pub fn is_token_since_reset(&self, token: u64, epoch: u64) -> bool {
-        token >= (epoch << COUNTER_BITS) | self.counter_at_reset && token <= self.token(epoch)
+        self.session > 0 && self.fencing.is_synced(self.seen_token, epoch)
     }
 
     /// Records that the machine has an image (`fetched`) or is fetching it.
@@ -206,8 +184,7 @@
         self.session = 0;
         self.sequence = 0;
         self.seen_token = 0;
-        self.raise_token();
-        self.counter_at_reset = self.token_counter;
+        self.fencing.reset();
         self.reported.clear();
         self.command_in_flight = false;
         self.commands_paused_until = None;
