Void copies of answered commands before an attempt is cleared

What callers saw: a task ran on two machines at once.

Cause: the answer with `clear` carried the token under which the attempt had been started. Workers execute direct commands as long as token and session match, whether or not they were answered before, and know an attempt until it is cleared. So every copy of the start was valid after the `clear`.

Change: an answer that carries `clear` raises the token if commands were sent directly under the present one. Token and `clear` arrive together, so no copy is executed after it. One raise serves all that was sent to the machine before; reports under the token before still count as proof and the machine still takes tasks, so neither a message nor a round trip is added. Absence of a stopped task is compared with the token that the worker has seen, which may now lie below the present one. When an epoch's counter is nearly used up, commands go out in answers only.

--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -81,10 +81,14 @@
         };
         self.apply_heartbeat(heartbeat, now);
         let Some(machine) = self.machines.get(id) else { return HeartbeatOutcome::Unavailable };
-        let token = machine.token(shard_lease.epoch);
         // Only the worker's newest message gets commands; delayed or repeated ones get none.
         let newest = (machine.session, machine.sequence) == (heartbeat.session, heartbeat.sequence);
-        let commands = if newest { self.pending_commands(id, true, now) } else { Vec::new() };
+        let commands =
+            if newest { self.pending_commands(id, CommandChannel::Reply, now) } else { Vec::new() };
+        self.void_copies_before_clear(id, &commands);
+        let Some(token) = self.machines.get(id).map(|m| m.token(shard_lease.epoch)) else {
+            return HeartbeatOutcome::Unavailable;
+        };
         self.record_sent_commands(id, &commands, token, CommandChannel::Reply);
         HeartbeatOutcome::Reply(HeartbeatReply { token, commands })
     }
@@ -156,8 +160,9 @@
     /// which are unexpected. `synced`: the report was sent under the current fencing token.
     fn reconcile_reported_tasks(&mut self, id: &Arc<str>, synced: bool, now: Instant) {
         let Some(machine) = self.machines.get(id) else { return };
-        let Some(shard_lease) = self.role.leased_shards.get(&machine.shard).copied() else { return };
-        let token = machine.token(shard_lease.epoch);
+        if !self.is_holder(machine.shard) {
+            return;
+        }
         let session = machine.session;
         let mut exits = Vec::new();
         let mut raise_token = false;
@@ -190,10 +195,10 @@
                 }
                 Some(_) => {}
                 None if placed.stop_reason.is_some() && !machine.command_in_flight => {
-                    // The worker does not list the task. While a start sent under the current token may
-                    // still be in flight, that proves nothing. Once the worker has accepted a higher
-                    // token, the start is void, so the task has ended.
-                    if placed.start_token < token {
+                    // The worker does not list the task. While a start may still be in flight, that proves
+                    // nothing. Once the worker has accepted a token above that of the last start, the
+                    // start is void, so the task has ended.
+                    if placed.start_token < machine.seen_token {
                         exits.push((task.clone(), placed.attempt, None));
                     } else {
                         raise_token = true;
--- a/crates/dapplecroft-controller/src/core/worker_commands.rs
+++ b/crates/dapplecroft-controller/src/core/worker_commands.rs
@@ -11,14 +11,15 @@
 
 impl Core {
     /// Commands that bring a machine from what it last reported to what the records ask of it. `clear` is
-    /// only sent in the reply to a heartbeat (`in_reply`): a delayed `start` of the same attempt must
-    /// not arrive after the `clear`.
-    pub(super) fn pending_commands(&self, id: &str, in_reply: bool, now: Instant) -> Vec<Command> {
+    /// only sent in the reply to a heartbeat, which is never executed late.
+    pub(super) fn pending_commands(&self, id: &str, channel: CommandChannel, now: Instant) -> Vec<Command> {
         let Some(machine) = self.machines.get(id) else { return Vec::new() };
         let Some(shard_lease) = self.role.leased_shards.get(&machine.shard).copied() else {
             return Vec::new();
         };
-        let synced = machine.is_synced(shard_lease.epoch);
+        let may_clear = channel == CommandChannel::Reply
+            && machine.is_synced(shard_lease.epoch)
+            && !machine.command_in_flight;
         let mut commands = Vec::new();
         for (task, status) in &machine.reported {
             let committed = self
@@ -26,7 +27,7 @@
                 .and_then(|j| j.placed.get(&task.index))
                 .filter(|p| p.committed && *p.machine == *id && p.attempt == status.attempt);
             match (committed, status.state) {
-                (None, TaskState::Exited) if in_reply && synced && !machine.command_in_flight => {
+                (None, TaskState::Exited) if may_clear => {
                     commands.push(Command::Clear { task: status.task.clone(), attempt: status.attempt });
                 }
                 (None, TaskState::Exited) => {}
@@ -76,6 +77,24 @@
         commands
     }
 
+    /// Raises the fencing token of a machine's worker if the reply carries a `clear` and commands have been
+    /// sent directly with the present token. After a `clear` the worker no longer knows the attempt, so a
+    /// late copy of its `start` would start it again. The reply brings the new token together with the
+    /// `clear`, so no copy is executed after it.
+    pub(super) fn void_copies_before_clear(&mut self, id: &str, commands: &[Command]) {
+        if !commands.iter().any(|command| matches!(command, Command::Clear { .. })) {
+            return;
+        }
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        if machine.fencing.void_answered_commands() && !machine.fencing.may_send_direct_commands() {
+            tracing::info!(
+                machine = id,
+                "fencing tokens of this epoch are nearly used up; commands go out in replies only"
+            );
+        }
+    }
+
+    /// Records for the tasks to be started with which token that is.
     pub(super) fn record_sent_commands(
         &mut self,
         id: &str,
@@ -111,7 +130,11 @@
         if cannot_receive || machine.commands_paused_until.is_some_and(|at| at > now) {
             return None;
         }
-        let commands = self.pending_commands(id, false, now);
+        let commands = if machine.fencing.may_send_direct_commands() {
+            self.pending_commands(id, CommandChannel::Direct, now)
+        } else {
+            Vec::new()
+        };
         let machine = self.machines.get_mut(id)?;
         // A message without commands still brings the current token to the worker. Its next report then
         // counts as proof of its tasks, and it can be given work sooner.
@@ -121,6 +144,9 @@
         }
         let address = machine.address.clone()?;
         machine.command_in_flight = true;
+        if !commands.is_empty() {
+            machine.fencing.record_direct_commands();
+        }
         let (token, session) = (machine.token(shard_lease.epoch), machine.session);
         self.record_sent_commands(id, &commands, token, CommandChannel::Direct);
         Some((address, DirectCommands { token, session, commands }))
--- a/crates/dapplecroft-controller/tests/stories/late_messages.rs
+++ b/crates/dapplecroft-controller/tests/stories/late_messages.rs
@@ -2,7 +2,7 @@
 
 use crate::cluster::{CLOUD, Cluster, STATE, host, pause};
 use dapplecroft_controller::Options;
-use dapplecroft_fakes::{Action, Rule};
+use dapplecroft_fakes::{Action, Rule, WorkerTiming};
 use http::Method;
 use std::time::Duration;
 
@@ -54,6 +54,108 @@
     cluster.assert_invariants_hold();
 }
 
+/// Waits until a machine's worker no longer lists any task.
+async fn until_cleared(cluster: &Cluster, machine: &str) {
+    let worker = cluster.cloud.worker(machine);
+    cluster.until("the worker has cleared its tasks", || worker.report().tasks.is_empty()).await;
+}
+
+/// Ends all controllers, so that none can stop what a worker starts, delivers the held copies and asserts that
+/// the workers reject them.
+async fn assert_copies_are_rejected(cluster: &Cluster) {
+    (0..3).for_each(|n| cluster.kill_node(n));
+    let codes = cluster.net.deliver().await;
+    assert!(!codes.is_empty() && codes.iter().all(|code| *code == 409), "{codes:?}");
+}
+
+/// How a task comes to leave its machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Departure {
+    Preempted,
+    PreemptedUnderTheNextHolder,
+    ReclaimNotice,
+    SessionLost,
+}
+
+impl Departure {
+    /// Makes the running task `run-1/0` leave its machine.
+    async fn cause(self, cluster: &Cluster, machine: &str) {
+        let worker = cluster.cloud.worker(machine);
+        match self {
+            Departure::Preempted => cluster.submit("run-2", "free", 1, 16.0, "urgent").await,
+            Departure::PreemptedUnderTheNextHolder => {
+                let holder = cluster.leader().unwrap();
+                cluster.kill_node(holder);
+                cluster.until("another leader", || cluster.leader().is_some_and(|n| n != holder)).await;
+                cluster.submit("run-2", "free", 1, 16.0, "urgent").await;
+                cluster.start_node(holder);
+            }
+            Departure::ReclaimNotice => worker.notice(5.0),
+            Departure::SessionLost => worker.blink(),
+        }
+    }
+}
+
+// Guards against running a task twice: a copy of an answered start command arrives after its attempt has ended
+// and was cleared, while the next attempt runs.
+#[tokio::test(start_paused = true)]
+async fn a_copy_of_an_answered_start_command_is_rejected_after_its_task_has_moved() {
+    use Departure::{Preempted, PreemptedUnderTheNextHolder, ReclaimNotice, SessionLost};
+    for departure in [Preempted, PreemptedUnderTheNextHolder, ReclaimNotice, SessionLost] {
+        let options = Options { max_preempted_loss: Duration::from_secs(600), ..Options::default() };
+        let runs = |timing: &mut WorkerTiming| {
+            timing.runs.insert("run-1".into(), Duration::from_secs(90));
+        };
+        let cluster = Cluster::with_options(2, runs, options).await;
+        cluster.net.rule(Rule::all("", "", Action::Copy).path("/do").body("run-1/0").times(1));
+        cluster.submit("run-1", "free", 1, 16.0, "low").await;
+        cluster.until_running(1).await;
+        let first = cluster.checker.on()["run-1/0"].clone();
+        departure.cause(&cluster, &first).await;
+        cluster.until("run-1 runs again", || cluster.checker.starts("run-1/0") == 2).await;
+        let elsewhere = cluster.checker.on().get("run-1/0") != Some(&first);
+        assert!(elsewhere || departure == SessionLost, "{departure:?}");
+        if elsewhere {
+            until_cleared(&cluster, &first).await;
+        }
+        assert_copies_are_rejected(&cluster).await;
+        pause(2.0).await;
+        (0..3).for_each(|n| cluster.start_node(n));
+        cluster.until_stage("run-1", "done").await;
+        assert_eq!(cluster.checker.starts("run-1/0"), 2, "{departure:?}");
+        cluster.assert_invariants_hold();
+    }
+}
+
+// Guards against starting a completed, failed or cancelled attempt again: a copy of its answered start command
+// arrives after it was cleared.
+#[tokio::test(start_paused = true)]
+async fn a_copy_of_an_answered_start_command_is_rejected_after_its_task_has_ended() {
+    const COMPLETES: &str = "run-1";
+    const FAILS: &str = "run-2";
+    const CANCELLED: &str = "run-3";
+    for job in [COMPLETES, FAILS, CANCELLED] {
+        let timing = |timing: &mut WorkerTiming| {
+            timing.runs.insert(CANCELLED.into(), Duration::from_secs(90));
+            timing.fails = vec![FAILS.into()];
+        };
+        let cluster = Cluster::with_options(1, timing, Options::default()).await;
+        cluster.net.rule(Rule::all("", "", Action::Copy).path("/do").body("start").times(1));
+        cluster.submit(job, "free", 1, 4.0, "normal").await;
+        cluster.until_running(1).await;
+        let machine = cluster.cloud.machines()[0].clone();
+        if job == CANCELLED {
+            cluster.cancel(0, job).await;
+        }
+        until_cleared(&cluster, &machine).await;
+        let starts = cluster.checker.starts(&format!("{job}/0"));
+        assert_copies_are_rejected(&cluster).await;
+        pause(2.0).await;
+        assert_eq!(cluster.checker.starts(&format!("{job}/0")), starts, "{job}");
+        cluster.assert_invariants_hold();
+    }
+}
+
 // The transaction that places the tasks is delayed, and its sender repeats it. Only one of the two may
 // be carried out.
 #[tokio::test(start_paused = true)]
--- a/crates/dapplecroft-controller/tests/stories/random_faults.rs
+++ b/crates/dapplecroft-controller/tests/stories/random_faults.rs
@@ -192,10 +192,11 @@
 }
 
 /// Runs the random faults of each seed, and asserts that each run had jobs, cancellations and delayed, copied
-/// and lost messages.
-async fn run_seeds(seeds: std::ops::Range<u64>) {
+/// and lost messages. `rules` apply from the beginning, before those of the random faults.
+async fn run_seeds(seeds: std::ops::Range<u64>, rules: &[Rule]) {
     for seed in seeds {
         let mut run = RandomFaults::start(seed).await;
+        rules.iter().for_each(|rule| run.cluster.net.rule(rule.clone()));
         for step in 0..STEPS_PER_SEED {
             run.step(step).await;
         }
@@ -211,5 +212,12 @@
 // controllers, lost and hanging machines, and outages of the state service.
 #[tokio::test(start_paused = true)]
 async fn invariants_hold_and_all_jobs_end_under_random_faults() {
-    run_seeds(0..12).await;
+    run_seeds(0..12, &[]).await;
+}
+
+// Guards against commands that are not harmless when they arrive again: a copy of every message of direct
+// commands arrives late, also after its sender has ended.
+#[tokio::test(start_paused = true)]
+async fn invariants_hold_when_all_direct_commands_arrive_again() {
+    run_seeds(0..6, &[Rule::all("", "", Action::Copy).path("/do")]).await;
 }
