Tests notice when direct commands are not recorded, and a clear beside direct commands

A token raised once by the first clear hid that direct commands were no longer recorded, since each machine counts as having been commanded at first; the story plays an earlier task on the machine now and fails (copy answered with 200). Nothing failed when clear was sent beside direct commands in flight; a test of its own does now.

--- a/crates/dapplecroft-controller/src/core/worker_commands/tests.rs
+++ b/crates/dapplecroft-controller/src/core/worker_commands/tests.rs
@@ -127,6 +127,19 @@
     assert_eq!((reply.token, reply.commands.len()), (token, 1));
 }
 
+// Guards against a `clear` that overtakes direct commands which are still on their way.
+#[test]
+fn no_clear_is_sent_while_direct_commands_are_in_flight() {
+    let now = Instant::now();
+    let mut core = core_with_recorded_failure(now);
+    let machine = core.machines.get_mut("i-1").unwrap();
+    machine.command_in_flight = true;
+    machine.fencing.record_direct_commands();
+    let token = machine.token(1);
+    let reply = reply_to_failure(&mut core, 1, token, now);
+    assert_eq!((reply.token, reply.commands), (token, vec![]));
+}
+
 // Guards against taking a missing entry as proof: the token was raised in a reply that the worker may not have
 // received, so a start with the token that it has seen may still be on its way.
 #[test]
--- a/crates/dapplecroft-controller/tests/stories/late_messages.rs
+++ b/crates/dapplecroft-controller/tests/stories/late_messages.rs
@@ -128,7 +128,7 @@
 }
 
 // Guards against starting a completed, failed or cancelled attempt again: a copy of its answered start command
-// arrives after it was cleared.
+// arrives after it was cleared. The machine has run another task before.
 #[tokio::test(start_paused = true)]
 async fn a_copy_of_an_answered_start_command_is_rejected_after_its_task_has_ended() {
     const COMPLETES: &str = "run-1";
@@ -140,10 +140,13 @@
             timing.fails = vec![FAILS.into()];
         };
         let cluster = Cluster::with_options(1, timing, Options::default()).await;
+        cluster.submit("run-4", "free", 1, 4.0, "normal").await;
+        cluster.until_stage("run-4", "done").await;
+        let machine = cluster.cloud.machines()[0].clone();
+        until_cleared(&cluster, &machine).await;
         cluster.net.rule(Rule::all("", "", Action::Copy).path("/do").body("start").times(1));
         cluster.submit(job, "free", 1, 4.0, "normal").await;
         cluster.until_running(1).await;
-        let machine = cluster.cloud.machines()[0].clone();
         if job == CANCELLED {
             cluster.cancel(0, job).await;
         }
