--- a/crates/dapplecroft-controller/src/core/session.rs
+++ b/crates/dapplecroft-controller/src/core/session.rs
@@ -157,7 +157,7 @@
     }
 
     /// Updates tasks from what the machine's newest report proves: which ones run, which have exited, and
-    /// which are unexpected. `synced`: the report was sent under the current fencing token.
+    /// which are unexpected. `synced`: the worker had seen a fencing token that makes the report proof.
     fn reconcile_reported_tasks(&mut self, id: &Arc<str>, synced: bool, now: Instant) {
         let Some(machine) = self.machines.get(id) else { return };
         if !self.is_holder(machine.shard) {
--- a/crates/dapplecroft-controller/src/machines.rs
+++ b/crates/dapplecroft-controller/src/machines.rs
@@ -47,8 +47,7 @@
     pub known_since: Instant,
     /// When this process last received a heartbeat from the worker.
     pub last_heartbeat: Option<Instant>,
-    /// Since when the worker's heartbeats have shown that it has not accepted the current
-    /// fencing token.
+    /// Since when the worker's heartbeats have shown a fencing token too old for them to be proof.
     pub unsynced_since: Option<Instant>,
     /// Session of the worker, 0 while none is known.
     pub session: u64,
@@ -132,8 +131,8 @@
         self.fencing.token(epoch)
     }
 
-    /// Whether the worker had accepted the current fencing token when it sent its newest
-    /// heartbeat. Only then does the heartbeat prove which tasks run on the machine.
+    /// Whether the worker's newest heartbeat proves which tasks run on the machine: the worker
+    /// had seen a fencing token that voids all commands of unknown outcome.
     pub fn is_synced(&self, epoch: u64) -> bool {
         self.session > 0 && self.fencing.is_synced(self.seen_token, epoch)
     }
@@ -155,8 +154,7 @@
     }
 
     /// Whether tasks may be placed on the machine, as its shard's holder sees it. Its
-    /// worker must have accepted the current fencing token and sent a heartbeat within
-    /// `heartbeat_timeout`, and the machine must be neither reclaimed, released nor given
+    /// worker must be synced and have sent a heartbeat within `heartbeat_timeout`, and the machine must be neither reclaimed, released nor given
     /// up, nor be the only one on which two or more jobs failed.
     pub fn accepts_tasks(&self, epoch: u64, heartbeat_timeout: Duration, now: Instant) -> bool {
         self.last_heartbeat.is_some_and(|at| now.saturating_duration_since(at) <= heartbeat_timeout)
